--- /dev/null
+++ b/hillchute/benchlink/codec.py
@@ -0,0 +1,154 @@
+"""Lines of the bench's wire to plain values and back: spelling and units only.
+
+Nanoseconds become tenths of a millisecond. The clock and durations round up, a query's end rounds down,
+so that nothing waits too short and nothing is answered late.
+"""
+
+from hillchute.decision.interface import Decision, Listing
+
+NS = 100_000  # nanoseconds in a tenth of a millisecond
+
+# The wire's words for settings and endings, in ours.
+SETTING_WORDS = {
+    "classes": "groups",
+    "goal_time": "target_runtime",
+    "aim_stretch": "target_stretch",
+    "worth": "value",
+    "semantics": "effect",
+    "group": "repeats_dropped_by",
+    "deadline": "queue_timeout",
+    "class_load": "group_load",
+    "width_by_class": "width_by_group",
+}
+EFFECTS = {"repeatable": "read-only", "by_key": "tokened", "once": "mutating"}
+RESULTS = {"completed": "finished"}
+
+
+class Malformed(Exception):
+    """A line that is not what the wire page says."""
+
+
+def up(ns: int) -> int:
+    return -(-ns // NS)
+
+
+def down(ns: int) -> int:
+    return ns // NS
+
+
+class Fields:
+    """The values of one line, read in order."""
+
+    def __init__(self, line: str, number: int) -> None:
+        self.name, *self.values = line.split(" ")
+        self.number = number
+        self.at = 0
+
+    def fault(self, what: str) -> Malformed:
+        return Malformed(f"line {self.number}: {self.name}: {what}")
+
+    def text(self, field: str) -> str | None:
+        if self.at >= len(self.values):
+            raise self.fault(f"field {field} is missing")
+        value = self.values[self.at]
+        self.at += 1
+        return None if value == "-" else value
+
+    def number_of(self, field: str, kind: type, default=None):
+        value = self.text(field)
+        if value is None:
+            return default
+        try:
+            return kind(value)
+        except ValueError:
+            raise self.fault(f"field {field} is not a number: {value[:40]}") from None
+
+    def integer(self, field: str, default: int | None = None) -> int | None:
+        return self.number_of(field, int, default)
+
+    def real(self, field: str, default: float | None = None) -> float | None:
+        return self.number_of(field, float, default)
+
+    def needed(self, value, field: str):
+        if value is None:
+            raise self.fault(f"field {field} is absent")
+        return value
+
+    def report(self, field: str) -> dict[str, float] | None:
+        value = self.text(field)
+        if value is None:
+            return None
+        report = {}
+        for pair in value.split(","):
+            name, _, figure = pair.partition(":")
+            try:
+                report[name] = float(figure)
+            except ValueError:
+                raise self.fault(f"field {field} is not name:value: {pair[:40]}") from None
+        return report
+
+    def listing(self) -> Listing:
+        if self.name != "ENGINE":
+            raise self.fault("expected an ENGINE line of the CENSUS")
+        kind = self.integer("kind", 0)
+        cell = self.integer("bay", 0)
+        started = up(self.integer("last_start_ns", 0))
+        zone = self.integer("locality", 0)
+        state = self.text("availability") or "Ready"
+        nominal = self.real("nominal", 1.0)
+        engine = self.needed(self.integer("engine"), "engine")
+        return Listing(engine, kind, cell, zone, started, state, nominal)
+
+    def catalog(self) -> dict[str, object]:
+        settings = {}
+        for pair in self.values[self.at :]:
+            path, sign, value = pair.partition("=")
+            if not sign:
+                raise self.fault(f"setting without a value: {path[:40]}")
+            name, read = path, plain(value)
+            if path.endswith("_ns") and isinstance(read, int):
+                name, read = path[:-3], up(read)
+            parts = [SETTING_WORDS.get(part, part) for part in name.split(".")]
+            if parts[-1] == "effect":
+                read = EFFECTS.get(value, value)
+            settings[".".join(parts)] = read
+        return settings
+
+
+def plain(value: str) -> object:
+    if "," in value:
+        return [plain(part) for part in value.split(",")]
+    if value in ("true", "false"):
+        return value == "true"
+    for kind in (int, float):
+        try:
+            return kind(value)
+        except ValueError:
+            continue
+    return value
+
+
+def encode(decision: Decision) -> str:
+    verb, *values = decision
+    match verb:
+        case "submit":
+            query, engine, within = values
+            return f"PASS_ON {query} {engine} {within * NS}"
+        case "defer":
+            query, after = values
+            return f"PUSH_BACK {query} {after * NS}"
+        case "kill":
+            return f"FINISH_ERROR {values[0]}"
+        case "cancel":
+            return f"RETRACT {values[0]} {values[1]}"
+        case "terms":
+            query, megabytes, priority = values
+            return f"SET_TERMS {query} {megabytes:g} {priority}"
+        case "probe":
+            return f"ASK_LOAD {values[0]}"
+        case "watch":
+            return "OBSERVE 1"
+        case "wake":
+            at, name = values
+            return f"WAKE_ME {at * NS} {name}"
+    raise ValueError(f"no wire form for decision {verb}")
--- /dev/null
+++ b/hillchute/decision/teamwork.py
@@ -0,0 +1,508 @@
+"""Query Teamwork: every decision of one router, in one module. One instance is one router.
+
+A front calls the inputs (roster, take, outcome, ...), which only update what is known, and then pulls
+decide() until it gives None. The calls and the decisions are listed in hillchute/decision/interface.py,
+the state in hillchute/decision/state.py. Times are whole tenths of a millisecond. docs/design.md tells
+what is the design's, what departs from it and when; docs/oncall.md what will be seen at night.
+"""
+
+from collections import defaultdict, deque
+from heapq import heappop, heappush
+from zlib import crc32
+
+from hillchute.decision.state import Engine, Lane, Query, ResourceGroup, Submission
+
+SECOND = 10_000
+MILLISECOND = 10
+
+# Every constant: its unit, and why it has this size.
+FACTOR = 2.0  # threads a core, all routers together: the design's starting bound
+MARGIN = 5 * MILLISECOND  # a final answer goes out this long before the client's end, plus two ticks
+SWEEP = 25 * MILLISECOND  # held work is looked at this often; far under any target runtime
+SMOOTH = 0.1  # share of the newest figure in a running mean: the last ten or so count
+SLOW = 3.0  # latency over its best that is pressure: targets commonly leave room for about that
+BEST_DRIFT = 1.002  # a best grows by this at each answer, so that an engine's past does not bind for ever
+PRESSED = 500 * MILLISECOND  # a busy report or refusal counts this long: about a report's age
+BUSY = 0.97  # share of a resource in use that is a busy report: reports are noisy by a few hundredths
+LAG = 500 * MILLISECOND  # a report may be this old when it comes: sends before it still count beside it
+SHARPNESS = 4  # power of the draw's weight: twice the load, a sixteenth of the draws
+REST = 100 * MILLISECOND  # first rest of an engine that failed; doubles with each failure in a row
+LONGEST_REST = 5 * SECOND  # an engine that is back is found at the latest after this
+SILENT = 3 * SECOND  # no answer for so long with several out: hung, whatever the reason
+SEVERAL = 3  # submissions out before silence says anything
+PATIENCE = 6.0  # times the expected run until a submission is taken as hung or badly planned
+LEAST_PATIENCE = 1 * SECOND  # so that short queries are not cut off by a passing stall
+EXTRA = 0.1  # own ration of further submissions per query taken: retries must not feed an overload
+EXTRA_START = 5  # further submissions free at the start, so that a quiet router can retry at all
+RATION_SPAN = 10 * SECOND  # over which the own ration is counted: longer than a short fault
+PROBE_EVERY = 400 * MILLISECOND  # per engine; reports are rarely fresher than that
+QUERIES_A_PROBE = 4  # queries taken for each probe: holds the price of probes to a quarter of one a query
+BACKLOG = 0.5  # share of the head's slack that the queue may need to drain before the least worthy go
+FLOW_SPAN = 2 * SECOND  # over which the queue's outflow is measured
+
+NEVER_RAN = ("saturated", "refused_conn", "superseded")  # endings that prove it
+MAY_STILL_RUN = ("overdue", "severed", "recalled")  # endings after which a key rests
+BROKEN = ("refused_conn", "severed", "errored")  # endings that speak against the engine
+
+
+class Teamwork:
+    def __init__(self, seed, catalog, now):
+        self.seed, self.catalog, self.now = seed, catalog, now
+        self.drawn = 0
+        self.groups = [ResourceGroup.read(catalog, n) for n in range(catalog.get("groups.count", 0))]
+        self.routers = max(1, catalog.get("n_instances", 1))
+        self.margin = MARGIN + 2 * catalog.get("tick", 0)
+        shortest = min((g.target for g in self.groups if not g.is_load), default=0)
+        self.dashboards = {g.number for g in self.groups if g.target == shortest and not g.is_load}
+        self.queries: dict[str, Query] = {}
+        self.engines: dict[int, Engine] = {}
+        self.lanes = defaultdict(Lane)
+        self.queue, self.dash = deque(), deque()  # waiting: teams to be, and dashboards with no engine
+        self.home = {}  # table group: the engine that last ran it
+        self.looks = []  # heap of (time, order, query id): look at this query again
+        self.taken, self.extras, self.flow = deque(), deque(), deque()
+        self.probe_credit = len(self.groups)
+        self.wake_at = None
+        self.watch = catalog.get("discovery") == "on_request"
+        self.planned = deque()
+
+    # ---- what has happened: bookkeeping only -------------------------------------------------------
+
+    def roster(self, now, mode, listings):
+        self.now = now
+        if mode == "Error":
+            self.watch = self.catalog.get("discovery") == "on_request"
+            return
+        listed = {}
+        for entry in listings:
+            listed[entry.engine] = e = self.engines.setdefault(entry.engine, Engine(entry.engine, heard=now))
+            e.kind, e.cell, e.zone = entry.kind, entry.cell, entry.zone
+            e.cores = self.per_kind("domain.kind_cores", entry.kind, 1)
+            e.ram = self.per_kind("domain.ram_of_kind_mb", entry.kind, 0.0)
+            e.factor = e.factor or FACTOR
+            e.ready = entry.state == "Ready"
+            if entry.started > e.started:
+                e.started, e.fails, e.rest_until, e.slowness = entry.started, 0, now, None
+        if mode != "Partial":
+            for engine_id, e in self.engines.items():
+                e.ready = e.ready and engine_id in listed
+
+    def per_kind(self, name, kind, default):
+        values = self.catalog.get(name, default)
+        return values[kind] if isinstance(values, list) else values
+
+    def take(self, now, query, group, due, tables=None, tenant=0, cost=None, memory=0.0, key=None):
+        self.now = now
+        g = self.groups[group]
+        cost = cost or g.usual or g.target * g.width // 2
+        g.usual += SMOOTH * (cost - g.usual) if g.usual else cost
+        q = self.queries[query] = Query(query, g, now, due, tables, tenant, cost, memory, key)
+        self.taken.append(now)
+        self.probe_credit = min(self.probe_credit + 1 / QUERIES_A_PROBE, len(self.engines))
+        self.look(q, due - self.margin)
+        if g.in_order and key is not None:
+            q.place = "lane"
+            self.lanes[key].turn.append(q)
+        else:
+            self.line_up(q)
+
+    def line_up(self, q, front=False):
+        line, q.place = (self.dash, "dash") if q.group.number in self.dashboards else (self.queue, "queue")
+        line.appendleft(q) if front else line.append(q)
+        if q.place == "queue":
+            self.look(q, self.latest_start(q))
+
+    def look(self, q, at):
+        self.drawn += 1
+        heappush(self.looks, (at, self.drawn, q.id))
+
+    def outcome(self, now, query, leg, result, final, elapsed, cost=None, report=None):
+        self.now = now
+        q = self.queries.get(query)
+        if q is None or leg >= len(q.legs) or not q.legs[leg].open:
+            return
+        sub = q.legs[leg]
+        e = self.engines[sub.engine]
+        sub.open = False
+        e.out -= 1
+        e.threads -= q.group.width
+        e.memory -= q.memory
+        if q.group.is_load and q.tables in e.holds:
+            e.holds[q.tables] -= 1
+            if not e.holds[q.tables]:
+                del e.holds[q.tables]
+        e.heard = now
+        if report:
+            self.read_report(e, report)
+        if result not in NEVER_RAN and q.ran is None:
+            q.ran = sub
+        if result in MAY_STILL_RUN and q.key is not None and q.group.in_order:
+            rest = self.catalog.get("guarantees.order_pause", 0)
+            self.lanes[q.key].rest_until = now + rest + 1
+        self.judge(e, q, sub, result, elapsed, cost)
+        if final or q.place == "ended":
+            self.end(q)
+        elif not q.out:
+            q.place = "again"
+            self.look(q, now)
+
+    def judge(self, e, q, sub, result, elapsed, cost):
+        """An engine's health, from how one submission ended."""
+        if result == "finished":
+            e.fails = 0
+            if cost:
+                g = q.group
+                g.scale += SMOOTH * (min(5.0, max(0.2, cost / q.cost)) - g.scale)
+            ratio = elapsed * q.group.width / max(1, cost or sub.work)
+            e.slowness = ratio if e.slowness is None else e.slowness + SMOOTH * (ratio - e.slowness)
+            e.best = e.slowness if e.best is None else min(e.best * BEST_DRIFT, e.slowness)
+        elif result == "saturated":
+            e.pressed_until = self.now + PRESSED
+        elif result in BROKEN:
+            # Guards against an engine that is down, or answers fast with nothing but errors and so draws
+            # ever more traffic. A lone random error costs it one short rest.
+            e.fails += 1
+            e.rest_until = self.now + min(LONGEST_REST, REST << min(e.fails, 10))
+            if result != "errored":
+                e.started = max(e.started, self.now)  # it may come back cold before the roster says so
+
+    def read_report(self, e, report):
+        if "inflight" in report:
+            widths = sum(x.threads for x in self.engines.values()), sum(x.out for x in self.engines.values())
+            e.reported = report["inflight"] * (widths[0] / widths[1] if widths[1] else 1.0)
+        elif "util" in report:
+            e.reported = report["util"] * e.cores
+        e.reported_at = self.now
+        shares = [report.get("util", 0.0)]
+        shares += [
+            report.get(x, 0.0) for x in ("x0", "x1") if "share" in str(self.catalog.get(f"domain.report_{x}"))
+        ]
+        if max(shares) >= BUSY or report.get("queue", 0.0) >= 1.0:
+            e.pressed_until = self.now + PRESSED
+
+    def probed(self, now, engine, result, report):
+        self.now = now
+        e = self.engines.get(engine)
+        if e is not None and report:
+            self.read_report(e, report)
+
+    def progress(self, now, query, leg, topic, figure):
+        self.now = now
+        q = self.queries.get(query)
+        if q is not None and leg < len(q.legs) and q.legs[leg].open:
+            self.engines[q.legs[leg].engine].heard = now
+
+    def streaming(self, now, query):
+        self.now = now
+        if query in self.queries:
+            self.queries[query].streaming = True
+
+    def left(self, now, query):
+        self.now = now
+        if query in self.queries:
+            self.end(self.queries[query])
+
+    def woken(self, now, name):
+        self.now = now
+        self.wake_at = None
+
+    def end(self, q):
+        """The query is answered; it is kept while a submission is out, since its key waits for that."""
+        if q.place in ("queue", "dash"):
+            (self.queue if q.place == "queue" else self.dash).remove(q)
+        q.place = "ended"
+        if not q.out:
+            self.queries.pop(q.id, None)
+
+    # ---- the rules ----------------------------------------------------------------------------------
+
+    def may_run_again(self, q):
+        """Rules 1, 2 and 7 and the limit of tries: may it be submitted now, as far as it alone goes?"""
+        if q.place == "ended" or len(q.legs) >= self.catalog.get("limits.most_tries", 1):
+            return False
+        if q.out and not self.catalog.get("limits.may_duplicate", False):
+            return False
+        maybe_ran = q.ran or next((leg for leg in q.legs if leg.open), None)
+        if maybe_ran and q.group.effect == "mutating":
+            return False
+        if maybe_ran and q.group.effect == "tokened" and self.now + 1 >= maybe_ran.sent + q.group.window:
+            return False
+        return not q.legs or self.ration_left()
+
+    def ration_left(self):
+        span = self.catalog.get("guarantees.look_back")
+        if span is not None:
+            span += (
+                2  # the clock is rounded: count a little more of what was used, a little less of the other
+            )
+            used = sum(t >= self.now - span for t in self.extras)
+            taken = sum(t >= self.now - span + 4 for t in self.taken)
+            least, share = (
+                self.catalog.get("guarantees.min_extra", 0),
+                self.catalog.get("guarantees.extra_share", 0),
+            )
+            if used + 1 > least + share * taken:
+                return False
+        # Our own ration: with an outage or a slowdown of all engines, retries must not make it worse.
+        used = sum(t >= self.now - RATION_SPAN for t in self.extras)
+        return used + 1 <= EXTRA_START + EXTRA * len(self.taken)
+
+    def may_defer(self, q):
+        """Rule 2: a deferral tells the client that trying again is harmless."""
+        if q.group.effect == "read-only" or (q.ran is None and not q.out):
+            return True
+        return q.group.effect == "tokened" and q.group.repeats == "all"
+
+    def allowed(self, e, q):
+        """Rules 2, 3, 4 and 6: may this query go to this engine now, whatever the load?"""
+        g = q.group
+        if not e.ready or (g.zones is not None and e.zone not in g.zones):
+            return False
+        if g.kinds is not None and e.kind not in g.kinds:
+            return False
+        maybe_ran = q.ran or next((leg for leg in q.legs if leg.open), None)
+        if maybe_ran and g.effect == "tokened" and g.repeats != "all":
+            first = self.engines[maybe_ran.engine]
+            if e.zone != first.zone or (g.repeats == "cell" and e.cell != first.cell):
+                return False
+        return self.warm_enough(e, g.usual)
+
+    def warm_enough(self, e, work):
+        """Rule 4: a cold engine gets from this router its share of what the engine can do at its coldest."""
+        if e.started <= 0 or self.now >= e.started + self.catalog.get("guarantees.cold", 0):
+            return True
+        span = self.catalog.get("guarantees.fall", 0)
+        while e.cold and e.cold[0][0] < self.now - span:
+            e.cold.popleft()
+        budget = self.catalog.get("guarantees.cold_from", 0) * e.cores * span / self.routers
+        return sum(w for _, w in e.cold) + work <= budget
+
+    # ---- the engines --------------------------------------------------------------------------------
+
+    def fit(self, e):
+        """Health: neither resting after failures nor silent with work out."""
+        if self.now < e.rest_until:
+            return False
+        return e.out < SEVERAL or self.now - e.heard < SILENT
+
+    def pressed(self, e):
+        slow = e.slowness is not None and e.slowness > SLOW * max(1.0, e.best)
+        return slow or self.now < e.pressed_until
+
+    def since(self, e):
+        while e.sent and e.sent[0][0] < e.reported_at - LAG:
+            e.sent.popleft()
+        return sum(threads for _, threads in e.sent)
+
+    def load(self, e):
+        """Threads on the engine: as reported plus this router's since; unheard, the average of the others."""
+        if e.reported is not None:
+            return e.reported + self.since(e)
+        heard = [x.reported for x in self.engines.values() if x.ready and x.reported is not None]
+        return sum(heard) / len(heard) + self.since(e) if heard else e.threads
+
+    def room(self, e, q):
+        """How many queries like this one the engine has slots and room for."""
+        width = q.group.width
+        free = FACTOR * e.cores - max(self.load(e), e.threads)
+        if self.pressed(e):
+            free = min(free, max(width, e.factor * e.cores / self.routers) - e.threads)
+        slots = int(free // width)
+        if q.memory and e.ram:
+            slots = min(slots, int((e.ram - e.memory) // q.memory))
+        return max(0, slots, int(not e.out))
+
+    def draw(self, engines, q):
+        """Chance, weighted against load."""
+        weights = [(0.1 + self.load(e) / e.cores) ** -SHARPNESS for e in engines]
+        self.drawn += 1
+        mark = crc32(f"{self.seed}:{self.drawn}".encode()) / 2**32 * sum(weights)
+        for e, weight in zip(engines, weights):
+            mark -= weight
+            if mark < 0:
+                return e
+        return engines[-1]
+
+    def expected(self, q, e=None):
+        slow = [x.slowness for x in ([e] if e else self.engines.values()) if x.slowness is not None]
+        slowness = max(1.0, sum(slow) / len(slow)) if slow else 1.0
+        return int(q.cost * q.group.scale / q.group.width * slowness)
+
+    def latest_start(self, q):
+        """The last moment at which a start still makes the target runtime."""
+        alone = q.cost * q.group.scale / q.group.width
+        return q.taken + q.group.target + int(q.group.stretch * alone) - self.expected(q)
+
+    # ---- deciding -----------------------------------------------------------------------------------
+
+    def decide(self, now):
+        self.now = now
+        if not self.planned:
+            stages = (self.follow, self.settle, self.lanes_move, self.send_dashboards, self.send_team)
+            for stage in (*stages, self.probe, self.set_alarm):
+                stage()
+                if self.planned:
+                    break
+        return self.planned.popleft() if self.planned else None
+
+    def follow(self):
+        if self.watch:
+            self.watch = False
+            self.planned.append(("watch",))
+
+    def settle(self):
+        """Look at the queries whose time has come: answer those that are over, send again those that may."""
+        while self.looks and self.looks[0][0] <= self.now and not self.planned:
+            q = self.queries.get(heappop(self.looks)[2])
+            if q is None or q.place == "ended" or q.streaming:
+                continue
+            if self.now >= q.due - self.margin:
+                self.give_up(q)
+            elif q.place == "again":
+                if self.may_run_again(q) and self.now + self.expected(q) < q.due:
+                    self.line_up(q, front=True)
+                else:
+                    self.give_up(q)
+            elif q.place == "queue" and self.now >= self.latest_start(q):
+                self.give_up(q)
+        self.shed()
+
+    def shed(self):
+        """Overload: when the queue would outlast half the head's slack, the least worth its work goes."""
+        while self.flow and self.flow[0][0] < self.now - FLOW_SPAN:
+            self.flow.popleft()
+        if len(self.queue) < 2 or self.planned:
+            return
+        out = max(sum(work for _, work in self.flow), self.queue[0].cost)
+        head = self.queue[0]
+        slack = self.latest_start(head) - head.taken
+        if sum(q.cost for q in self.queue) * FLOW_SPAN / out > BACKLOG * max(slack, 0) + self.margin:
+            self.give_up(min(self.queue, key=lambda q: (q.group.value / q.cost, q.id)))
+
+    def give_up(self, q):
+        if self.catalog.get("limits.cancel", False):
+            for number, leg in enumerate(q.legs):
+                if leg.open:
+                    self.planned.append(("cancel", q.id, number))
+        if self.may_defer(q):
+            after = (
+                self.catalog.get("limits.max_retry_after", 0) if self.catalog.get("limits.retry_after") else 0
+            )
+            self.planned.append(("defer", q.id, after))
+        else:
+            self.planned.append(("kill", q.id))
+        self.end(q)
+
+    def lanes_move(self):
+        """Rule 5: the next query of a key lines up when all earlier ones are over and the key has rested."""
+        for key in list(self.lanes):
+            lane = self.lanes[key]
+            while lane.turn and lane.turn[0].place == "ended" and not lane.turn[0].out:
+                lane.turn.popleft()
+            if not lane.turn:
+                if self.now >= lane.rest_until:
+                    del self.lanes[key]
+            elif lane.turn[0].place == "lane" and self.now >= lane.rest_until:
+                self.line_up(lane.turn[0])
+
+    def send_dashboards(self):
+        """Dashboards skip the queue and the bound."""
+        for _ in range(len(self.dash)):
+            q = self.dash[0]
+            engines = self.engines_for(q)
+            if not engines:
+                self.dash.rotate(-1)
+                continue
+            self.submit(self.dash.popleft(), self.draw(engines, q))
+            return
+
+    def engines_for(self, q):
+        """Engines that may take it and are fit; a query that waits for loads keeps off their tables."""
+        engines = [e for e in self.engines.values() if self.allowed(e, q) and self.fit(e)]
+        if q.group.waits or q.group.is_load:
+            engines = [e for e in engines if q.tables not in e.holds] or engines
+        if q.legs:
+            engines = [e for e in engines if e.id != q.legs[-1].engine] or engines
+        return engines
+
+    def send_team(self):
+        if not self.queue:
+            return
+        leader = self.queue[0]
+        engines = [e for e in self.engines_for(leader) if self.room(e, leader)]
+        if not engines:
+            return  # the leader waits for the next outcome
+        home = self.engines.get(self.home.get(leader.tables))
+        e = home if home in engines else self.draw(engines, leader)
+        slots = self.room(e, leader)
+        team = [leader]
+        if not leader.group.is_load:
+            mates = (
+                q for q in self.queue if q.tables == leader.tables and not q.group.is_load and q is not leader
+            )
+            team += [q for q in mates if e in self.engines_for(q)][: slots - 1]
+        for q in team:
+            if self.allowed(e, q):
+                self.queue.remove(q)
+                self.flow.append((self.now, q.cost))
+                self.submit(q, e)
+        self.home[leader.tables] = e.id
+
+    def submit(self, q, e):
+        if q.legs:
+            self.extras.append(self.now)
+        while self.extras and self.extras[0] < self.now - self.longest_span():
+            self.extras.popleft()
+        within = q.due - self.margin - self.now
+        if self.catalog.get("limits.cancel", False) and q.group.effect == "read-only":
+            # Guards against a hung member and a bad plan where a time-out frees the engine.
+            within = min(within, int(max(LEAST_PATIENCE, PATIENCE * self.expected(q, e))))
+        self.set_terms(q)
+        self.planned.append(("submit", q.id, e.id, max(1, within)))
+        q.legs.append(Submission(e.id, self.now, q.cost * q.group.scale))
+        q.place = "out"
+        if not e.out:
+            e.heard = self.now
+        e.out += 1
+        e.threads += q.group.width
+        e.memory += q.memory
+        e.sent.append((self.now, q.group.width))
+        e.cold.append((self.now, q.group.usual))
+        if q.group.is_load:
+            e.holds[q.tables] = e.holds.get(q.tables, 0) + 1
+
+    def longest_span(self):
+        return max(RATION_SPAN, self.catalog.get("guarantees.look_back") or 0) + 10
+
+    def set_terms(self, q):
+        """Short and light work first, where engines heed priorities."""
+        if not self.catalog.get("domain.ranks_heeded", False) or q.legs:
+            return
+        if q.group.number in self.dashboards:
+            priority = 3
+        else:
+            priority = 2 if q.cost <= q.group.usual else 1 if q.cost <= 3 * q.group.usual else 0
+        self.planned.append(("terms", q.id, 0, priority))
+
+    def probe(self):
+        """Where reports come by probes alone: the engine probed longest ago, paced by the queries taken."""
+        while self.taken and self.taken[0] < self.now - self.longest_span():
+            self.taken.popleft()
+        if self.catalog.get("report.via") != "probe" or not self.catalog.get("limits.probes", False):
+            return
+        ready = [e for e in self.engines.values() if e.ready and self.now >= e.rest_until]
+        if self.probe_credit >= 1 and ready:
+            e = min(ready, key=lambda e: e.probed_at)
+            if self.now - e.probed_at >= PROBE_EVERY:
+                e.probed_at = self.now
+                self.probe_credit -= 1
+                self.planned.append(("probe", e.id))
+
+    def set_alarm(self):
+        """One alarm: the next query to look at, or a sweep while something is held."""
+        times = [self.looks[0][0]] if self.looks else []
+        if self.queue or self.dash or self.lanes:
+            times.append(self.now + SWEEP)
+        if times and (self.wake_at is None or min(times) < self.wake_at):
+            self.wake_at = max(min(times), self.now + 1)
+            self.planned.append(("wake", self.wake_at, "look"))
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,90 @@
+from itertools import count
+
+import pytest
+
+from hillchute.decision.interface import Listing
+from hillchute.decision.state import Submission
+from hillchute.decision.teamwork import SECOND, Teamwork
+
+LOOKUP, REPORT, LOAD, WRITE = range(4)
+
+CATALOG = {
+    "groups.count": 4,
+    "groups.0.target_runtime": 1 * SECOND,
+    "groups.0.target_stretch": 2.0,
+    "groups.0.effect": "read-only",
+    "groups.1.target_runtime": 2 * SECOND,
+    "groups.1.target_stretch": 2.0,
+    "groups.1.value": 5.0,
+    "groups.1.effect": "read-only",
+    "groups.2.target_runtime": 3 * SECOND,
+    "groups.2.target_stretch": 2.0,
+    "groups.2.value": 5.0,
+    "groups.2.effect": "tokened",
+    "groups.2.repeats_dropped_by": "all",
+    "groups.2.window": 10 * SECOND,
+    "groups.2.keep_order": True,
+    "groups.3.target_runtime": 3 * SECOND,
+    "groups.3.effect": "mutating",
+    "domain.width_by_group": [1, 4, 2, 1],
+    "domain.group_load": [False, False, True, False],
+    "domain.yields_to_loads": [True, False, False, False],
+    "domain.kind_cores": 8,
+    "n_instances": 2,
+    "limits.most_tries": 5,
+    "guarantees.order_pause": 3000,
+    "guarantees.cold": 10 * SECOND,
+    "guarantees.cold_from": 0.25,
+    "guarantees.fall": 2 * SECOND,
+    "tick": 50,
+}
+
+
+class Desk:
+    """A router with engines 1 to 3 in zones 0 to 2, and short ways to put a state together."""
+
+    def __init__(self, **changed):
+        catalog = CATALOG | {name.replace("__", "."): value for name, value in changed.items()}
+        self.router = Teamwork(7, catalog, 0)
+        self.list(1, 2, 3)
+        self.names = (f"q{n}" for n in count())
+
+    def list(self, *engines, mode="Complete", state="Ready", started=0):
+        listings = [Listing(e, 0, e // 2, e - 1, started, state, 1.0) for e in engines]
+        self.router.roster(self.router.now, mode, listings)
+
+    def take(self, group, now=0, cost=1000, due=7 * SECOND, **known):
+        name = next(self.names)
+        self.router.take(now, name, group, due, cost=cost, **known)
+        return self.router.queries[name]
+
+    def tried(self, group, engine=1, sent=0, result=None, **known):
+        """A query with one submission behind it, in no line."""
+        q = self.take(group, **known)
+        for line in (self.router.queue, self.router.dash):
+            if q in line:
+                line.remove(q)
+        q.place = "out"
+        q.legs.append(Submission(engine, sent, q.cost))
+        self.router.engines[engine].out += 1
+        self.router.engines[engine].threads += q.group.width
+        if result:
+            self.router.outcome(sent, q.id, 0, result, False, 0)
+        return q
+
+    def verbs(self, now=0):
+        """All decisions at this time."""
+        said = []
+        while (decision := self.router.decide(now)) is not None:
+            said.append(decision)
+        return said
+
+
+@pytest.fixture
+def desk():
+    return Desk()
+
+
+@pytest.fixture
+def make_desk():
+    return Desk
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,126 @@
+"""The seven rules, each at the function that guards it."""
+
+import pytest
+from conftest import LOAD, LOOKUP, REPORT, WRITE
+
+from hillchute.decision.teamwork import SECOND
+
+
+def submitted(said):
+    return [d[1] for d in said if d[0] == "submit"]
+
+
+def test_every_query_is_answered_before_its_end(desk):
+    desk.list(1, 2, 3, state="Terminating")
+    q = desk.take(WRITE, due=2 * SECOND)
+    desk.verbs(0)
+    at = 2 * SECOND - desk.router.margin
+    assert [d[:2] for d in desk.verbs(at) if d[0] != "wake"] == [("defer", q.id)]
+    assert q.id not in desk.router.queries
+
+
+def test_nothing_is_sent_after_the_client_left(desk):
+    q = desk.take(REPORT)
+    desk.router.left(0, q.id)
+    assert not submitted(desk.verbs())
+
+
+def test_late_outcome_of_an_ended_query_is_passed_over(desk):
+    q = desk.tried(REPORT)
+    desk.router.left(0, q.id)
+    desk.router.outcome(5, q.id, 0, "finished", True, 5)
+    desk.router.outcome(6, q.id, 0, "finished", True, 5)
+    assert q.id not in desk.router.queries
+    assert desk.router.engines[1].out == 0
+
+
+@pytest.mark.parametrize(
+    "group, result, again, defer",
+    [
+        (LOOKUP, "overdue", True, True),
+        (WRITE, "overdue", False, False),
+        (WRITE, "errored", False, False),
+        (WRITE, "saturated", True, True),
+        (LOAD, "severed", True, True),
+    ],
+)
+def test_no_effect_happens_twice(desk, group, result, again, defer):
+    q = desk.tried(group, result=result)
+    assert desk.router.may_run_again(q) is again
+    assert desk.router.may_defer(q) is defer
+
+
+def test_tokened_query_rests_with_its_window(desk):
+    q = desk.tried(LOAD, result="overdue")
+    desk.router.now = q.group.window - 1
+    assert not desk.router.may_run_again(q)
+
+
+@pytest.mark.parametrize("group, allowed", [("zone", [1]), ("cell", [1])])
+def test_tokened_query_stays_where_repeats_are_dropped(make_desk, group, allowed):
+    desk = make_desk(groups__2__repeats_dropped_by=group)
+    q = desk.tried(LOAD, result="overdue")
+    assert [e.id for e in desk.router.engines.values() if desk.router.allowed(e, q)] == allowed
+    assert not desk.router.may_defer(q)
+
+
+def test_one_submission_at_a_time_unless_duplicates_are_allowed(make_desk):
+    assert not make_desk().router.may_run_again(make_desk().tried(LOOKUP))
+    desk = make_desk(limits__may_duplicate=True)
+    assert desk.router.may_run_again(desk.tried(LOOKUP))
+
+
+@pytest.mark.parametrize("state", ["Terminating", "Gone"])
+def test_drained_engine_gets_nothing_new(desk, state):
+    desk.list(1, mode="Partial", state=state)
+    assert not desk.router.allowed(desk.router.engines[1], desk.take(LOOKUP))
+
+
+def test_engine_missing_from_a_complete_list_is_gone(desk):
+    desk.list(2, 3)
+    assert not desk.router.engines[1].ready
+
+
+def test_cold_engine_gets_this_routers_share_only(desk):
+    desk.list(1, mode="Partial", started=1)
+    e, q = desk.router.engines[1], desk.take(LOOKUP)
+    budget = 0.25 * 8 * 2 * SECOND / 2
+    e.cold.append((0, budget - q.group.usual))
+    assert desk.router.allowed(e, q)
+    e.cold.append((0, 1))
+    assert not desk.router.allowed(e, q)
+    desk.router.now = 10 * SECOND + 1
+    assert desk.router.allowed(e, q)
+
+
+def test_key_order_waits_for_the_outcome_and_the_rest(desk):
+    first, second = desk.take(LOAD, key="k"), desk.take(LOAD, key="k")
+    assert submitted(desk.verbs()) == [first.id]
+    desk.router.outcome(100, first.id, 0, "severed", False, 100)
+    desk.router.left(100, first.id)
+    assert not submitted(desk.verbs(3100))
+    assert submitted(desk.verbs(3101)) == [second.id]
+
+
+def test_key_stays_taken_while_an_ended_query_has_a_submission_out(desk):
+    first, second = desk.take(LOAD, key="k"), desk.take(LOAD, key="k")
+    desk.verbs()
+    desk.router.left(1, first.id)
+    assert not submitted(desk.verbs(2))
+    desk.router.outcome(3, first.id, 0, "finished", True, 3)
+    assert submitted(desk.verbs(4)) == [second.id]
+
+
+def test_bound_group_keeps_its_place(make_desk):
+    desk = make_desk(groups__0__runs_in=[1], groups__0__runs_on=[0])
+    q = desk.take(LOOKUP)
+    assert [e.id for e in desk.router.engines.values() if desk.router.allowed(e, q)] == [2]
+
+
+def test_further_submissions_stay_in_the_stated_budget(make_desk):
+    desk = make_desk(guarantees__look_back=SECOND, guarantees__min_extra=1, guarantees__extra_share=0.5)
+    desk.take(LOOKUP), desk.take(LOOKUP)
+    desk.router.extras.append(0)
+    assert desk.router.ration_left()
+    desk.router.extras.append(0)
+    assert not desk.router.ration_left()
--- /dev/null
+++ b/tests/test_teamwork.py
@@ -0,0 +1,86 @@
+"""The design's ordinary path and the answers to failures found."""
+
+from conftest import LOAD, LOOKUP, REPORT
+
+from hillchute.decision.teamwork import SECOND
+
+
+def engines_of(said, *queries):
+    names = [q.id for q in queries]
+    return [d[2] for d in said if d[0] == "submit" and d[1] in names]
+
+
+def test_affinity_set_joins_the_leader_and_loads_go_alone(desk):
+    leader, other = desk.take(REPORT, tables=4), desk.take(REPORT, tables=5)
+    mate, load = desk.take(REPORT, tables=4), desk.take(LOAD, tables=4)
+    desk.router.send_team()
+    sent = [d[1] for d in desk.router.planned if d[0] == "submit"]
+    assert sent == [leader.id, mate.id]
+    assert list(desk.router.queue) == [other, load]
+
+
+def test_leader_returns_to_the_engine_that_last_ran_its_group(desk):
+    q = desk.take(REPORT, tables=4)
+    desk.router.home[4] = 3
+    desk.router.send_team()
+    assert engines_of(desk.router.planned, q) == [3]
+
+
+def test_bound_binds_only_under_pressure(desk):
+    e, q = desk.router.engines[1], desk.take(REPORT)
+    e.threads, e.out = 8, 2
+    assert desk.router.room(e, q) == 2
+    desk.router.read_report(e, {"queue": 2.0})
+    assert desk.router.room(e, q) == 0
+
+
+def test_leader_waits_when_no_engine_is_eligible(desk):
+    q = desk.take(REPORT)
+    for e in desk.router.engines.values():
+        e.threads, e.out = 16, 4
+    desk.router.send_team()
+    assert list(desk.router.queue) == [q]
+
+
+def test_dashboard_skips_the_queue_and_the_bound(desk):
+    for e in desk.router.engines.values():
+        e.threads, e.out = 16, 4
+    q = desk.take(LOOKUP)
+    desk.router.send_dashboards()
+    assert engines_of(desk.router.planned, q)
+
+
+def test_unheard_engine_counts_as_average(desk):
+    for e, util in zip(desk.router.engines.values(), (0.25, 0.75), strict=False):
+        desk.router.read_report(e, {"util": util})
+    assert desk.router.load(desk.router.engines[3]) == 4
+
+
+def test_dashboard_keeps_off_the_tables_a_load_holds(desk):
+    desk.router.engines[1].holds = desk.router.engines[2].holds = {4: 1}
+    assert [e.id for e in desk.router.engines_for(desk.take(LOOKUP, tables=4))] == [3]
+
+
+def test_failing_engine_rests_longer_each_time(desk):
+    e = desk.router.engines[1]
+    rests = []
+    for _ in range(3):
+        desk.tried(LOOKUP, result="refused_conn")
+        rests.append(e.rest_until)
+    assert rests == sorted(set(rests)) and not desk.router.fit(e)
+
+
+def test_silent_engine_is_passed_by(desk):
+    e = desk.router.engines[1]
+    e.out = 3
+    desk.router.now = 3 * SECOND
+    assert not desk.router.fit(e)
+
+
+def test_queue_that_cannot_drain_sheds_the_least_worth_its_work(desk):
+    for e in desk.router.engines.values():
+        e.threads, e.out = 16, 4
+    light, heavy = desk.take(REPORT), desk.take(REPORT, cost=20 * SECOND)
+    desk.router.shed()
+    assert desk.router.planned[0][:2] == ("defer", heavy.id)
+    assert list(desk.router.queue) == [light]
