--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -108,6 +108,7 @@
     sent: deque = field(default_factory=deque)  # (time, threads) not yet in a report
     cold: deque = field(default_factory=deque)  # (time, usual work) sent while cold
     reported: float | None = None  # threads in use at the last report
+    counted: bool = False  # its reports count the queries it holds
     reported_at: Time = 0
     probed_at: Time = -(10**9)
     heard: Time = 0
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -38,6 +38,7 @@
 PROBE_EVERY = 400 * MILLISECOND  # per engine; reports are rarely fresher than that
 QUERIES_A_PROBE = 4  # queries taken for each probe: holds the price of probes to a quarter of one a query
 BACKLOG = 0.5  # share of the head's slack that the queue may need to drain before the least worthy go
+CROWD = 3.0  # threads a core, all routers together, beyond which a dashboard would only come too late
 FLOW_SPAN = 2 * SECOND  # over which the queue's outflow is measured
 
 NEVER_RAN = ("saturated", "refused_conn", "superseded")  # endings that prove it
@@ -168,6 +169,7 @@
 
     def read_report(self, e, report):
         if "inflight" in report:
+            e.counted = True
             widths = sum(x.threads for x in self.engines.values()), sum(x.out for x in self.engines.values())
             e.reported = report["inflight"] * (widths[0] / widths[1] if widths[1] else 1.0)
         elif "util" in report:
@@ -301,6 +303,12 @@
         heard = [x.reported for x in self.engines.values() if x.ready and x.reported is not None]
         return sum(heard) / len(heard) + self.since(e) if heard else e.threads
 
+    def crowd(self, e):
+        """Threads of all routers on the engine, as far as this router can tell."""
+        if e.counted:
+            return max(self.load(e), e.threads)
+        return max(self.load(e), e.threads * self.routers)
+
     def room(self, e, q):
         """How many queries like this one the engine has slots and room for."""
         width = q.group.width
@@ -413,6 +421,12 @@
             if not engines:
                 self.dash.rotate(-1)
                 continue
+            # Guards against a jam: engines full of dashboards, with clients' retries keeping them full. Covers
+            # bursts, slowdowns and lost engines alike; does harm where reports lag a load that has gone.
+            engines = [e for e in engines if self.crowd(e) < CROWD * e.cores]
+            if not engines:
+                self.give_up(q)
+                return
             self.submit(self.dash.popleft(), self.draw(engines, q))
             return
 
