--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -460,7 +460,6 @@
                 self.queue.remove(q)
                 self.flow.append((self.now, q.cost))
                 self.submit(q, e)
-        self.home[leader.tables] = e.id
 
     def submit(self, q, e):
         if q.legs:
@@ -482,6 +481,7 @@
         e.memory += q.memory
         e.sent.append((self.now, q.group.width))
         e.cold.append((self.now, q.group.usual))
+        self.home[q.tables] = e.id
         if q.group.is_load:
             e.holds[q.tables] = e.holds.get(q.tables, 0) + 1
 
