--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -17,6 +17,8 @@
 
 # Every constant: its unit, and why it has this size.
 FACTOR = 2.0  # threads a core, all routers together: the design's starting bound
+LEAST_FACTOR = 1.0  # threads a core: an engine is never asked to idle its cores
+CUT, MEND = 0.95, 0.01  # factor times CUT at a late answer, plus MEND at a timely one: settles near one late in ten
 MARGIN = 5 * MILLISECOND  # a final answer goes out this long before the client's end, plus two ticks
 SWEEP = 25 * MILLISECOND  # held work is looked at this often; far under any target runtime
 SMOOTH = 0.1  # share of the newest figure in a running mean: the last ten or so count
@@ -38,7 +40,7 @@
 PROBE_EVERY = 400 * MILLISECOND  # per engine; reports are rarely fresher than that
 QUERIES_A_PROBE = 4  # queries taken for each probe: holds the price of probes to a quarter of one a query
 BACKLOG = 0.5  # share of the head's slack that the queue may need to drain before the least worthy go
-CROWD = 3.0  # threads a core, all routers together, beyond which a dashboard would only come too late
+CROWD = 1.5  # times an engine's factor: with so many threads a core a dashboard would only come too late
 FLOW_SPAN = 2 * SECOND  # over which the queue's outflow is measured
 
 NEVER_RAN = ("saturated", "refused_conn", "superseded")  # endings that prove it
@@ -149,6 +151,11 @@
 
     def judge(self, e, q, sub, result, elapsed, cost):
         """An engine's health, from how one submission ended."""
+        alone = sub.work / q.group.width
+        if result == "finished" and elapsed <= q.group.target + q.group.stretch * alone:
+            e.factor = min(FACTOR, e.factor + MEND)
+        elif result in ("finished", "overdue", "saturated"):
+            e.factor = max(LEAST_FACTOR, e.factor * CUT)
         if result == "finished":
             e.fails = 0
             if cost:
@@ -312,7 +319,7 @@
     def room(self, e, q):
         """How many queries like this one the engine has slots and room for."""
         width = q.group.width
-        free = FACTOR * e.cores - max(self.load(e), e.threads)
+        free = e.factor * e.cores - self.crowd(e)
         if self.pressed(e):
             free = min(free, max(width, e.factor * e.cores / self.routers) - e.threads)
         slots = int(free // width)
@@ -423,7 +430,7 @@
                 continue
             # Guards against a jam: engines full of dashboards, with clients' retries keeping them full. Covers
             # bursts, slowdowns and lost engines alike; does harm where reports lag a load that has gone.
-            engines = [e for e in engines if self.crowd(e) < CROWD * e.cores]
+            engines = [e for e in engines if self.crowd(e) < CROWD * e.factor * e.cores]
             if not engines:
                 self.give_up(q)
                 return
