--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -182,6 +182,8 @@
         elif "util" in report:
             e.reported = report["util"] * e.cores
         e.reported_at = self.now
+        granted = [x for x in ("x0", "x1") if self.catalog.get(f"domain.report_{x}") == "share_of_memory_granted"]
+        e.granted = report.get(granted[0]) if granted else None
         shares = [report.get("util", 0.0)]
         shares += [
             report.get(x, 0.0) for x in ("x0", "x1") if "share" in str(self.catalog.get(f"domain.report_{x}"))
@@ -301,7 +303,7 @@
     def since(self, e):
         while e.sent and e.sent[0][0] < e.reported_at - LAG:
             e.sent.popleft()
-        return sum(threads for _, threads in e.sent)
+        return sum(threads for _, threads, _ in e.sent)
 
     def load(self, e):
         """Threads on the engine: as reported plus this router's since; unheard, the average of the others."""
@@ -316,6 +318,11 @@
             return max(self.load(e), e.threads)
         return max(self.load(e), e.threads * self.routers)
 
+    def free_memory(self, e):
+        self.since(e)
+        given = e.memory if e.granted is None else e.granted * e.ram + sum(mb for _, _, mb in e.sent)
+        return e.ram - max(e.memory, given)
+
     def room(self, e, q):
         """How many queries like this one the engine has slots and room for."""
         width = q.group.width
@@ -324,7 +331,7 @@
             free = min(free, max(width, e.factor * e.cores / self.routers) - e.threads)
         slots = int(free // width)
         if q.memory and e.ram:
-            slots = min(slots, int((e.ram - e.memory) // q.memory))
+            slots = min(slots, int(self.free_memory(e) // q.memory))
         return max(0, slots, int(not e.out))
 
     def draw(self, engines, q):
@@ -486,7 +493,7 @@
         e.out += 1
         e.threads += q.group.width
         e.memory += q.memory
-        e.sent.append((self.now, q.group.width))
+        e.sent.append((self.now, q.group.width, q.memory))
         e.cold.append((self.now, q.group.usual))
         self.home[q.tables] = e.id
         if q.group.is_load:
