--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -448,11 +448,22 @@
         """Engines that may take it and are fit; a query that waits for loads keeps off their tables."""
         engines = [e for e in self.engines.values() if self.allowed(e, q) and self.fit(e)]
         if q.group.waits or q.group.is_load:
+            engines = self.side(engines, q)
             engines = [e for e in engines if q.tables not in e.holds] or engines
         if q.legs:
             engines = [e for e in engines if e.id != q.legs[-1].engine] or engines
         return engines
 
+    def side(self, engines, q):
+        """Loads of a table group keep to one half of the engines, queries that wait for loads to the other.
+
+        Guards against standing still behind loads that other routers sent: the halves follow from the table
+        group and the engines' ids, so all routers split alike. Does harm where one half is short of engines.
+        """
+        order = sorted(self.engines, key=lambda n: crc32(f"{q.tables}:{n}".encode()))
+        half = {n for n in order[: len(order) // 2]}
+        return [e for e in engines if (e.id in half) == q.group.is_load] or engines
+
     def send_team(self):
         if not self.queue:
             return
