Threads behind queries held use the mean width of the work taken

Cause: with lookups deferred, what is out is wide reports, so a count of queries held read as too many threads and kept the deferrals up.

--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -65,6 +65,7 @@
         self.looks = []  # heap of (time, order, query id): look at this query again
         self.taken, self.extras, self.flow = deque(), deque(), deque()
         self.probe_credit = len(self.groups)
+        self.work = self.span = 0.0  # core time of all queries taken, and their time alone: mean threads in flight
         self.wake_at = None
         self.watch = catalog.get("discovery") == "on_request"
         self.planned = deque()
@@ -101,6 +102,7 @@
         g.usual += SMOOTH * (cost - g.usual) if g.usual else cost
         q = self.queries[query] = Query(query, g, now, due, tables, tenant, cost, memory, key)
         self.taken.append(now)
+        self.work, self.span = self.work + cost, self.span + cost / g.width
         self.probe_credit = min(self.probe_credit + 1 / QUERIES_A_PROBE, len(self.engines))
         self.look(q, due - self.margin)
         if g.in_order and key is not None:
@@ -177,8 +179,7 @@
     def read_report(self, e, report):
         if "inflight" in report:
             e.counted = True
-            widths = sum(x.threads for x in self.engines.values()), sum(x.out for x in self.engines.values())
-            e.reported = report["inflight"] * (widths[0] / widths[1] if widths[1] else 1.0)
+            e.reported = report["inflight"] * self.work / self.span if self.span else report["inflight"]
         elif "util" in report:
             e.reported = report["util"] * e.cores
         e.reported_at = self.now
