--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -400,7 +400,7 @@
         head = self.queue[0]
         slack = self.latest_start(head) - head.taken
         if sum(q.cost for q in self.queue) * FLOW_SPAN / out > BACKLOG * max(slack, 0) + self.margin:
-            self.give_up(min(self.queue, key=lambda q: (q.group.value / q.cost, q.id)))
+            self.give_up(max(self.queue, key=lambda q: (q.cost / q.group.usual, q.id)))
 
     def give_up(self, q):
         if self.catalog.get("limits.cancel", False):
