Only answers and progress are signs of life; a lost probe is pressure

Cause: time-outs and notes of waiting counted as word from an engine, so a hung one never fell silent.

--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -45,6 +45,7 @@
 
 NEVER_RAN = ("saturated", "refused_conn", "superseded")  # endings that prove it
 MAY_STILL_RUN = ("overdue", "severed", "recalled")  # endings after which a key rests
+NO_ANSWER = ("overdue", "recalled", "superseded")  # endings that are no sign of life
 BROKEN = ("refused_conn", "severed", "errored")  # endings that speak against the engine
 
 
@@ -136,7 +137,8 @@
             e.holds[q.tables] -= 1
             if not e.holds[q.tables]:
                 del e.holds[q.tables]
-        e.heard = now
+        if result not in NO_ANSWER:
+            e.heard = now
         if report:
             self.read_report(e, report)
         if result not in NEVER_RAN and q.ran is None:
@@ -197,11 +199,13 @@
         e = self.engines.get(engine)
         if e is not None and report:
             self.read_report(e, report)
+        elif e is not None and result != "superseded":
+            e.pressed_until = now + PRESSED  # no answer to a probe is as good as a busy report
 
     def progress(self, now, query, leg, topic, figure):
         self.now = now
         q = self.queries.get(query)
-        if q is not None and leg < len(q.legs) and q.legs[leg].open:
+        if topic == 1 and q is not None and leg < len(q.legs) and q.legs[leg].open:
             self.engines[q.legs[leg].engine].heard = now
 
     def streaming(self, now, query):
