--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -27,6 +27,7 @@
 PRESSED = 500 * MILLISECOND  # a busy report or refusal counts this long: about a report's age
 BUSY = 0.97  # share of a resource in use that is a busy report: reports are noisy by a few hundredths
 LAG = 500 * MILLISECOND  # a report may be this old when it comes: sends before it still count beside it
+FLOOR = 0.4  # threads a core added to every load: an engine that looks idle does not draw all routers at once
 SHARPNESS = 4  # power of the draw's weight: twice the load, a sixteenth of the draws
 REST = 100 * MILLISECOND  # first rest of an engine that failed; doubles with each failure in a row
 LONGEST_REST = 5 * SECOND  # an engine that is back is found at the latest after this
@@ -341,7 +342,7 @@
 
     def draw(self, engines, q):
         """Chance, weighted against load."""
-        weights = [(0.1 + self.load(e) / e.cores) ** -SHARPNESS for e in engines]
+        weights = [(FLOOR + self.load(e) / e.cores) ** -SHARPNESS for e in engines]
         self.drawn += 1
         mark = crc32(f"{self.seed}:{self.drawn}".encode()) / 2**32 * sum(weights)
         for e, weight in zip(engines, weights):
