--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -25,7 +25,8 @@
 SLOW = 3.0  # latency over its best that is pressure: targets commonly leave room for about that
 BEST_DRIFT = 1.002  # a best grows by this at each answer, so that an engine's past does not bind for ever
 PRESSED = 500 * MILLISECOND  # a busy report or refusal counts this long: about a report's age
-BUSY = 0.97  # share of a resource in use that is a busy report: reports are noisy by a few hundredths
+BUSY_HOLDS = 2 * SECOND  # a busy report counts until the next one, but no longer than this
+BUSY = 0.9  # share of a resource in use that is a busy report: reports are noisy by a few hundredths
 LAG = 500 * MILLISECOND  # a report may be this old when it comes: sends before it still count beside it
 FLOOR = 0.4  # threads a core added to every load: an engine that looks idle does not draw all routers at once
 SHARPNESS = 4  # power of the draw's weight: twice the load, a sixteenth of the draws
@@ -192,8 +193,8 @@
         shares += [
             report.get(x, 0.0) for x in ("x0", "x1") if "share" in str(self.catalog.get(f"domain.report_{x}"))
         ]
-        if max(shares) >= BUSY or report.get("queue", 0.0) >= 1.0:
-            e.pressed_until = self.now + PRESSED
+        busy = max(shares) >= BUSY or report.get("queue", 0.0) >= 1.0
+        e.pressed_until = self.now + (BUSY_HOLDS if busy else 0)
 
     def probed(self, now, engine, result, report):
         self.now = now
