Check the budget of further submissions again at the send; tidy, and tests that had fallen behind

Review of the whole module: a retry could wait in line while others used up the budget or its window passed; both are now checked when it goes out. Two tests still described the path before room counted other routers' threads; they are mended, and each failure found so far has its test. Second copies are never sent.

--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -18,7 +18,10 @@
 # Every constant: its unit, and why it has this size.
 FACTOR = 2.0  # threads a core, all routers together: the design's starting bound
 LEAST_FACTOR = 1.0  # threads a core: an engine is never asked to idle its cores
-CUT, MEND = 0.95, 0.01  # factor times CUT at a late answer, plus MEND at a timely one: settles near one late in ten
+CUT, MEND = (
+    0.95,
+    0.01,
+)  # factor times CUT at a late answer, plus MEND at a timely one: settles near one late in ten
 MARGIN = 5 * MILLISECOND  # a final answer goes out this long before the client's end, plus two ticks
 SWEEP = 25 * MILLISECOND  # held work is looked at this often; far under any target runtime
 SMOOTH = 0.1  # share of the newest figure in a running mean: the last ten or so count
@@ -51,6 +54,12 @@
 BROKEN = ("refused_conn", "severed", "errored")  # endings that speak against the engine
 
 
+def trim(line, start):
+    """Drops what came before start from a line of (time, ...)."""
+    while line and line[0][0] < start:
+        line.popleft()
+
+
 class Teamwork:
     def __init__(self, seed, catalog, now):
         self.seed, self.catalog, self.now = seed, catalog, now
@@ -68,7 +77,9 @@
         self.looks = []  # heap of (time, order, query id): look at this query again
         self.taken, self.extras, self.flow = deque(), deque(), deque()
         self.probe_credit = len(self.groups)
-        self.work = self.span = 0.0  # core time of all queries taken, and their time alone: mean threads in flight
+        self.work = self.span = (
+            0.0  # core time of all queries taken, and their time alone: mean threads in flight
+        )
         self.wake_at = None
         self.watch = catalog.get("discovery") == "on_request"
         self.planned = deque()
@@ -100,11 +111,13 @@
 
     def take(self, now, query, group, due, tables=None, tenant=0, cost=None, memory=0.0, key=None):
         self.now = now
+        for line in (self.taken, self.extras):
+            trim(line, now - max(RATION_SPAN, self.catalog.get("guarantees.look_back") or 0) - 2)
         g = self.groups[group]
         cost = cost or g.usual or g.target * g.width // 2
         g.usual += SMOOTH * (cost - g.usual) if g.usual else cost
         q = self.queries[query] = Query(query, g, now, due, tables, tenant, cost, memory, key)
-        self.taken.append(now)
+        self.taken.append((now, tenant))
         self.work, self.span = self.work + cost, self.span + cost / g.width
         self.probe_credit = min(self.probe_credit + 1 / QUERIES_A_PROBE, len(self.engines))
         self.look(q, due - self.margin)
@@ -117,8 +130,7 @@
     def line_up(self, q, front=False):
         line, q.place = (self.dash, "dash") if q.group.number in self.dashboards else (self.queue, "queue")
         line.appendleft(q) if front else line.append(q)
-        if q.place == "queue":
-            self.look(q, self.latest_start(q))
+        self.look(q, self.latest_start(q))
 
     def look(self, q, at):
         self.drawn += 1
@@ -187,13 +199,10 @@
         elif "util" in report:
             e.reported = report["util"] * e.cores
         e.reported_at = self.now
-        granted = [x for x in ("x0", "x1") if self.catalog.get(f"domain.report_{x}") == "share_of_memory_granted"]
-        e.granted = report.get(granted[0]) if granted else None
-        shares = [report.get("util", 0.0)]
-        shares += [
-            report.get(x, 0.0) for x in ("x0", "x1") if "share" in str(self.catalog.get(f"domain.report_{x}"))
-        ]
-        busy = max(shares) >= BUSY or report.get("queue", 0.0) >= 1.0
+        meant = {self.catalog.get(f"domain.report_{x}"): report.get(x) for x in ("x0", "x1")}
+        e.granted = meant.get("share_of_memory_granted")
+        shares = report.get("util"), e.granted, meant.get("share_of_disks_busy")
+        busy = max(share or 0 for share in shares) >= BUSY or report.get("queue", 0) >= 1
         e.pressed_until = self.now + (BUSY_HOLDS if busy else 0)
 
     def probed(self, now, engine, result, report):
@@ -238,32 +247,23 @@
         """Rules 1, 2 and 7 and the limit of tries: may it be submitted now, as far as it alone goes?"""
         if q.place == "ended" or len(q.legs) >= self.catalog.get("limits.most_tries", 1):
             return False
-        if q.out and not self.catalog.get("limits.may_duplicate", False):
-            return False
-        maybe_ran = q.ran or next((leg for leg in q.legs if leg.open), None)
-        if maybe_ran and q.group.effect == "mutating":
-            return False
-        if maybe_ran and q.group.effect == "tokened" and self.now + 1 >= maybe_ran.sent + q.group.window:
+        if q.out or (q.ran and q.group.effect == "mutating"):
+            return False  # never two at once, also where that is allowed: it would feed an overload
+        if q.ran and q.group.effect == "tokened" and self.now + 1 >= q.ran.sent + q.group.window:
             return False
         return not q.legs or self.ration_left()
 
     def ration_left(self):
-        span = self.catalog.get("guarantees.look_back")
-        if span is not None:
-            span += (
-                2  # the clock is rounded: count a little more of what was used, a little less of the other
-            )
-            used = sum(t >= self.now - span for t in self.extras)
-            taken = sum(t >= self.now - span + 4 for t in self.taken)
-            least, share = (
-                self.catalog.get("guarantees.min_extra", 0),
-                self.catalog.get("guarantees.extra_share", 0),
-            )
-            if used + 1 > least + share * taken:
+        """Rule 7, and our own ration: in an outage or a slowdown of all, retries must not make it worse."""
+        stated = self.catalog.get("guarantees.look_back")
+        least, share = (self.catalog.get(f"guarantees.{x}", 0) for x in ("min_extra", "extra_share"))
+        rations = [(RATION_SPAN, EXTRA_START, EXTRA)] + ([(stated, least, share)] if stated else [])
+        for span, free, per_query in rations:
+            # The clock is rounded: count a little more of what was used, a little less of what was taken.
+            used = sum(t >= self.now - span - 2 for (t,) in self.extras)
+            if used + 1 > free + per_query * sum(t >= self.now - span + 2 for t, _ in self.taken):
                 return False
-        # Our own ration: with an outage or a slowdown of all engines, retries must not make it worse.
-        used = sum(t >= self.now - RATION_SPAN for t in self.extras)
-        return used + 1 <= EXTRA_START + EXTRA * len(self.taken)
+        return True
 
     def may_defer(self, q):
         """Rule 2: a deferral tells the client that trying again is harmless."""
@@ -278,9 +278,10 @@
             return False
         if g.kinds is not None and e.kind not in g.kinds:
             return False
-        maybe_ran = q.ran or next((leg for leg in q.legs if leg.open), None)
-        if maybe_ran and g.effect == "tokened" and g.repeats != "all":
-            first = self.engines[maybe_ran.engine]
+        if q.legs and not self.may_run_again(q):
+            return False
+        if q.ran and g.effect == "tokened" and g.repeats != "all":
+            first = self.engines[q.ran.engine]
             if e.zone != first.zone or (g.repeats == "cell" and e.cell != first.cell):
                 return False
         return self.warm_enough(e, g.usual)
@@ -290,8 +291,7 @@
         if e.started <= 0 or self.now >= e.started + self.catalog.get("guarantees.cold", 0):
             return True
         span = self.catalog.get("guarantees.fall", 0)
-        while e.cold and e.cold[0][0] < self.now - span:
-            e.cold.popleft()
+        trim(e.cold, self.now - span - 1)
         budget = self.catalog.get("guarantees.cold_from", 0) * e.cores * span / self.routers
         return sum(w for _, w in e.cold) + work <= budget
 
@@ -308,8 +308,7 @@
         return slow or self.now < e.pressed_until
 
     def since(self, e):
-        while e.sent and e.sent[0][0] < e.reported_at - LAG:
-            e.sent.popleft()
+        trim(e.sent, max(e.reported_at - LAG, self.now - BUSY_HOLDS))
         return sum(threads for _, threads, _ in e.sent)
 
     def load(self, e):
@@ -376,8 +375,8 @@
 
     def follow(self):
         if self.watch:
-            self.watch = False
             self.planned.append(("watch",))
+        self.watch = False
 
     def settle(self):
         """Look at the queries whose time has come: answer those that are over, send again those that may."""
@@ -392,14 +391,13 @@
                     self.line_up(q, front=True)
                 else:
                     self.give_up(q)
-            elif q.place == "queue" and self.now >= self.latest_start(q):
+            elif q.place in ("queue", "dash") and self.now >= self.latest_start(q):
                 self.give_up(q)
         self.shed()
 
     def shed(self):
         """Overload: when the queue would outlast half the head's slack, the least worth its work goes."""
-        while self.flow and self.flow[0][0] < self.now - FLOW_SPAN:
-            self.flow.popleft()
+        trim(self.flow, self.now - FLOW_SPAN)
         if len(self.queue) < 2 or self.planned:
             return
         out = max(sum(work for _, work in self.flow), self.queue[0].cost)
@@ -414,10 +412,10 @@
                 if leg.open:
                     self.planned.append(("cancel", q.id, number))
         if self.may_defer(q):
-            after = (
-                self.catalog.get("limits.max_retry_after", 0) if self.catalog.get("limits.retry_after") else 0
+            heeded = self.catalog.get("limits.retry_after", False)
+            self.planned.append(
+                ("defer", q.id, self.catalog.get("limits.max_retry_after", 0) if heeded else 0)
             )
-            self.planned.append(("defer", q.id, after))
         else:
             self.planned.append(("kill", q.id))
         self.end(q)
@@ -442,7 +440,7 @@
             if not engines:
                 self.dash.rotate(-1)
                 continue
-            # Guards against a jam: engines full of dashboards, with clients' retries keeping them full. Covers
+            # Guards against a jam: engines full of dashboards, clients' retries keeping them full. Covers
             # bursts, slowdowns and lost engines alike; does harm where reports lag a load that has gone.
             engines = [e for e in engines if self.crowd(e) < CROWD * e.factor * e.cores]
             if not engines:
@@ -483,21 +481,17 @@
         slots = self.room(e, leader)
         team = [leader]
         if not leader.group.is_load:
-            mates = (
-                q for q in self.queue if q.tables == leader.tables and not q.group.is_load and q is not leader
-            )
-            team += [q for q in mates if e in self.engines_for(q)][: slots - 1]
+            mates = (q for q in self.queue if q.tables == leader.tables and not q.group.is_load)
+            team += [q for q in mates if q is not leader and e in self.engines_for(q)][: slots - 1]
         for q in team:
-            if self.allowed(e, q):
+            if q is leader or self.allowed(e, q):
                 self.queue.remove(q)
                 self.flow.append((self.now, q.cost))
                 self.submit(q, e)
 
     def submit(self, q, e):
         if q.legs:
-            self.extras.append(self.now)
-        while self.extras and self.extras[0] < self.now - self.longest_span():
-            self.extras.popleft()
+            self.extras.append((self.now,))
         within = q.due - self.margin - self.now
         if self.catalog.get("limits.cancel", False) and q.group.effect == "read-only":
             # Guards against a hung member and a bad plan where a time-out frees the engine.
@@ -512,14 +506,12 @@
         e.threads += q.group.width
         e.memory += q.memory
         e.sent.append((self.now, q.group.width, q.memory))
+        trim(e.cold, self.now - self.catalog.get("guarantees.fall", 0) - 1)
         e.cold.append((self.now, q.group.usual))
         self.home[q.tables] = e.id
         if q.group.is_load:
             e.holds[q.tables] = e.holds.get(q.tables, 0) + 1
 
-    def longest_span(self):
-        return max(RATION_SPAN, self.catalog.get("guarantees.look_back") or 0) + 10
-
     def set_terms(self, q):
         """Short and light work first, where engines heed priorities."""
         if not self.catalog.get("domain.ranks_heeded", False) or q.legs:
@@ -532,8 +524,6 @@
 
     def probe(self):
         """Where reports come by probes alone: the engine probed longest ago, paced by the queries taken."""
-        while self.taken and self.taken[0] < self.now - self.longest_span():
-            self.taken.popleft()
         if self.catalog.get("report.via") != "probe" or not self.catalog.get("limits.probes", False):
             return
         ready = [e for e in self.engines.values() if e.ready and self.now >= e.rest_until]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -64,10 +64,9 @@
     assert not desk.router.may_defer(q)
 
 
-def test_one_submission_at_a_time_unless_duplicates_are_allowed(make_desk):
-    assert not make_desk().router.may_run_again(make_desk().tried(LOOKUP))
+def test_one_submission_at_a_time(make_desk):
     desk = make_desk(limits__may_duplicate=True)
-    assert desk.router.may_run_again(desk.tried(LOOKUP))
+    assert not desk.router.may_run_again(desk.tried(LOOKUP))
 
 
 @pytest.mark.parametrize("state", ["Terminating", "Gone"])
@@ -120,7 +119,14 @@
 def test_further_submissions_stay_in_the_stated_budget(make_desk):
     desk = make_desk(guarantees__look_back=SECOND, guarantees__min_extra=1, guarantees__extra_share=0.5)
     desk.take(LOOKUP), desk.take(LOOKUP)
-    desk.router.extras.append(0)
+    desk.router.extras.append((0,))
     assert desk.router.ration_left()
-    desk.router.extras.append(0)
+    desk.router.extras.append((0,))
     assert not desk.router.ration_left()
+
+
+def test_budget_is_checked_again_when_the_query_goes_out(desk):
+    q = desk.tried(LOOKUP, result="overdue")
+    assert desk.router.allowed(desk.router.engines[2], q)
+    desk.router.extras.extend([(0,)] * 10)
+    assert not desk.router.allowed(desk.router.engines[2], q)
--- a/tests/test_teamwork.py
+++ b/tests/test_teamwork.py
@@ -28,7 +28,7 @@
 
 def test_bound_binds_only_under_pressure(desk):
     e, q = desk.router.engines[1], desk.take(REPORT)
-    e.threads, e.out = 8, 2
+    e.threads, e.out, e.counted, e.reported = 8, 2, True, 4
     assert desk.router.room(e, q) == 2
     desk.router.read_report(e, {"queue": 2.0})
     assert desk.router.room(e, q) == 0
@@ -43,11 +43,73 @@
 
 
 def test_dashboard_skips_the_queue_and_the_bound(desk):
+    for e in desk.router.engines.values():
+        e.threads, e.out = 8, 2
+    waiting, q = desk.take(REPORT), desk.take(LOOKUP)
+    desk.router.send_dashboards()
+    desk.router.send_team()
+    assert engines_of(desk.router.planned, q)
+    assert list(desk.router.queue) == [waiting]
+
+
+def test_dashboard_is_deferred_when_every_engine_is_crowded(desk):
     for e in desk.router.engines.values():
         e.threads, e.out = 16, 4
     q = desk.take(LOOKUP)
     desk.router.send_dashboards()
-    assert engines_of(desk.router.planned, q)
+    assert desk.router.planned[0][:2] == ("defer", q.id)
+
+
+def test_loads_and_the_queries_that_wait_for_them_keep_apart(make_desk):
+    for tables in range(9):
+        sides = []
+        for desk in (make_desk(), make_desk()):
+            load, lookup = desk.take(LOAD, tables=tables), desk.take(LOOKUP, tables=tables)
+            sides.append([{e.id for e in desk.router.engines_for(q)} for q in (load, lookup)])
+        assert not sides[0][0] & sides[0][1]
+        assert sides[0] == sides[1]
+
+
+def test_late_answers_lower_the_bound_and_timely_ones_mend_it(desk):
+    e, q = desk.router.engines[1], desk.tried(LOOKUP)
+    desk.router.outcome(0, q.id, 0, "finished", True, 5 * SECOND)
+    low = e.factor
+    q = desk.tried(LOOKUP)
+    desk.router.outcome(0, q.id, 0, "finished", True, 1)
+    assert low < e.factor < 2.0
+
+
+def test_room_counts_the_memory_that_reports_show(make_desk):
+    desk = make_desk(domain__report_x0="share_of_memory_granted", domain__ram_of_kind_mb=1000.0)
+    e = desk.router.engines[1]
+    e.out = 1
+    desk.router.read_report(e, {"inflight": 0.0, "x0": 0.5})
+    assert desk.router.room(e, desk.take(REPORT, memory=250.0)) == 2
+    desk.router.read_report(e, {"inflight": 0.0, "x0": 0.8})
+    assert desk.router.room(e, desk.take(REPORT, memory=250.0)) == 0
+
+
+def test_busy_report_holds_until_the_next_report(desk):
+    e = desk.router.engines[1]
+    desk.router.read_report(e, {"util": 1.0})
+    desk.router.now = SECOND
+    assert desk.router.pressed(e)
+    desk.router.read_report(e, {"util": 0.5})
+    assert not desk.router.pressed(e)
+
+
+def test_time_outs_are_no_sign_of_life(desk):
+    e = desk.router.engines[1]
+    desk.tried(LOOKUP), desk.tried(LOOKUP), desk.tried(LOOKUP)
+    q = desk.tried(LOOKUP)
+    desk.router.outcome(3 * SECOND, q.id, 0, "overdue", False, 3 * SECOND)
+    assert not desk.router.fit(e)
+
+
+def test_queries_held_count_as_the_mean_width_of_the_work(desk):
+    desk.take(LOOKUP, cost=1000), desk.take(REPORT, cost=4000)
+    desk.router.read_report(desk.router.engines[1], {"inflight": 4.0})
+    assert desk.router.engines[1].reported == 10
 
 
 def test_unheard_engine_counts_as_average(desk):
