--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -27,8 +27,7 @@
 SMOOTH = 0.1  # share of the newest figure in a running mean: the last ten or so count
 SLOW = 3.0  # latency over its best that is pressure: targets commonly leave room for about that
 BEST_DRIFT = 1.002  # a best grows by this at each answer, so that an engine's past does not bind for ever
-PRESSED = 500 * MILLISECOND  # a busy report or refusal counts this long: about a report's age
-BUSY_HOLDS = 2 * SECOND  # a busy report counts until the next one, but no longer than this
+PRESSED = 2 * SECOND  # a busy report counts until the next one, but no longer than this
 BUSY = 0.9  # share of a resource in use that is a busy report: reports are noisy by a few hundredths
 LAG = 500 * MILLISECOND  # a report may be this old when it comes: sends before it still count beside it
 FLOOR = 0.4  # threads a core added to every load: an engine that looks idle does not draw all routers at once
@@ -38,7 +37,6 @@
 SILENT = 3 * SECOND  # no answer for so long with several out: hung, whatever the reason
 SEVERAL = 3  # submissions out before silence says anything
 PATIENCE = 6.0  # times the expected run until a submission is taken as hung or badly planned
-LEAST_PATIENCE = 1 * SECOND  # so that short queries are not cut off by a passing stall
 EXTRA = 0.1  # own ration of further submissions per query taken: retries must not feed an overload
 EXTRA_START = 5  # further submissions free at the start, so that a quiet router can retry at all
 RATION_SPAN = 10 * SECOND  # over which the own ration is counted: longer than a short fault
@@ -203,7 +201,7 @@
         e.granted = meant.get("share_of_memory_granted")
         shares = report.get("util"), e.granted, meant.get("share_of_disks_busy")
         busy = max(share or 0 for share in shares) >= BUSY or report.get("queue", 0) >= 1
-        e.pressed_until = self.now + (BUSY_HOLDS if busy else 0)
+        e.pressed_until = self.now + (PRESSED if busy else 0)
 
     def probed(self, now, engine, result, report):
         self.now = now
@@ -308,7 +306,7 @@
         return slow or self.now < e.pressed_until
 
     def since(self, e):
-        trim(e.sent, max(e.reported_at - LAG, self.now - BUSY_HOLDS))
+        trim(e.sent, max(e.reported_at - LAG, self.now - PRESSED))
         return sum(threads for _, threads, _ in e.sent)
 
     def load(self, e):
@@ -407,10 +405,8 @@
             self.give_up(max(self.queue, key=lambda q: (q.cost / q.group.usual, q.id)))
 
     def give_up(self, q):
-        if self.catalog.get("limits.cancel", False):
-            for number, leg in enumerate(q.legs):
-                if leg.open:
-                    self.planned.append(("cancel", q.id, number))
+        if q.out and self.catalog.get("limits.cancel", False):
+            self.planned.append(("cancel", q.id, len(q.legs) - 1))
         if self.may_defer(q):
             heeded = self.catalog.get("limits.retry_after", False)
             self.planned.append(
@@ -495,7 +491,7 @@
         within = q.due - self.margin - self.now
         if self.catalog.get("limits.cancel", False) and q.group.effect == "read-only":
             # Guards against a hung member and a bad plan where a time-out frees the engine.
-            within = min(within, int(max(LEAST_PATIENCE, PATIENCE * self.expected(q, e))))
+            within = min(within, int(max(q.group.target, PATIENCE * self.expected(q, e))))
         self.set_terms(q)
         self.planned.append(("submit", q.id, e.id, max(1, within)))
         q.legs.append(Submission(e.id, self.now, q.cost * q.group.scale))
