Broken connections say little of an engine and are retried outside our own ration

Also covers engines that err now and then. Could do harm where broken connections are how an engine sheds load: two in a row still rest it.

--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -67,7 +67,7 @@
     sent: Time
     work: float
     open: bool = True
-    silenced: bool = False  # cancelled by this router
+    result: str = ""
 
 
 @dataclass(slots=True)
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -141,7 +141,7 @@
             return
         sub = q.legs[leg]
         e = self.engines[sub.engine]
-        sub.open = False
+        sub.open, sub.result = False, result
         e.out -= 1
         e.threads -= q.group.width
         e.memory -= q.memory
@@ -184,10 +184,11 @@
             e.pressed_until = self.now + PRESSED
         elif result in BROKEN:
             # Guards against an engine that is down, or answers fast with nothing but errors and so draws
-            # ever more traffic. A lone random error costs it one short rest.
+            # ever more traffic. A lone failure costs nothing: connections may break on engines that are well.
             e.fails += 1
-            e.rest_until = self.now + min(LONGEST_REST, REST << min(e.fails, 10))
-            if result != "errored":
+            if e.fails > 1:
+                e.rest_until = self.now + min(LONGEST_REST, REST << min(e.fails, 10))
+            if result == "refused_conn":
                 e.started = max(e.started, self.now)  # it may come back cold before the roster says so
 
     def read_report(self, e, report):
@@ -249,13 +250,19 @@
             return False  # never two at once, also where that is allowed: it would feed an overload
         if q.ran and q.group.effect == "tokened" and self.now + 1 >= q.ran.sent + q.group.window:
             return False
-        return not q.legs or self.ration_left()
+        return not q.legs or self.ration_left(q)
 
-    def ration_left(self):
-        """Rule 7, and our own ration: in an outage or a slowdown of all, retries must not make it worse."""
+    def ration_left(self, q):
+        """Rule 7, and our own ration: where work was too much for the engines, retries must not add to it.
+
+        Broken connections and errors are not rationed by us: they say nothing of load, and engines that
+        break them one after another rest.
+        """
         stated = self.catalog.get("guarantees.look_back")
         least, share = (self.catalog.get(f"guarantees.{x}", 0) for x in ("min_extra", "extra_share"))
-        rations = [(RATION_SPAN, EXTRA_START, EXTRA)] + ([(stated, least, share)] if stated else [])
+        rations = [(stated, least, share)] if stated else []
+        if q.legs and q.legs[-1].result not in BROKEN:
+            rations.append((RATION_SPAN, EXTRA_START, EXTRA))
         for span, free, per_query in rations:
             # The clock is rounded: count a little more of what was used, a little less of what was taken.
             used = sum(t >= self.now - span - 2 for (t,) in self.extras)
--- a/tests/test_teamwork.py
+++ b/tests/test_teamwork.py
@@ -146,3 +146,15 @@
     desk.router.shed()
     assert desk.router.planned[0][:2] == ("defer", heavy.id)
     assert list(desk.router.queue) == [light]
+
+
+def test_lone_broken_connection_says_nothing_of_the_engine(desk):
+    desk.tried(LOOKUP, result="severed")
+    assert desk.router.fit(desk.router.engines[1])
+    assert desk.router.warm_enough(desk.router.engines[1], 10**9)
+
+
+def test_only_work_that_was_too_much_is_rationed(desk):
+    desk.router.extras.extend([(0,)] * 10)
+    assert desk.router.may_run_again(desk.tried(LOOKUP, result="severed"))
+    assert not desk.router.may_run_again(desk.tried(LOOKUP, result="overdue"))
