A router's own queries out, times its part of all, show a stall before reports do

Also covers hung and slowed engines and late reports; could do harm where one router carries far less of the traffic than before, for the ten or so reports it takes to learn its part.

--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -108,7 +108,6 @@
     sent: deque = field(default_factory=deque)  # (time, threads) not yet in a report
     cold: deque = field(default_factory=deque)  # (time, usual work) sent while cold
     reported: float | None = None  # threads in use at the last report
-    counted: bool = False  # its reports count the queries it holds
     granted: float | None = None  # share of its memory granted at the last report
     reported_at: Time = 0
     probed_at: Time = -(10**9)
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -78,6 +78,9 @@
         self.work = self.span = (
             0.0  # core time of all queries taken, and their time alone: mean threads in flight
         )
+        self.held = self.mine = (
+            0.0  # mean threads on an engine by reports that count them, and this router's of them
+        )
         self.wake_at = None
         self.watch = catalog.get("discovery") == "on_request"
         self.planned = deque()
@@ -193,8 +196,9 @@
 
     def read_report(self, e, report):
         if "inflight" in report:
-            e.counted = True
             e.reported = report["inflight"] * self.work / self.span if self.span else report["inflight"]
+            self.held += SMOOTH * (e.reported - self.held)
+            self.mine += SMOOTH * (e.threads - self.mine)
         elif "util" in report:
             e.reported = report["util"] * e.cores
         e.reported_at = self.now
@@ -324,10 +328,13 @@
         return sum(heard) / len(heard) + self.since(e) if heard else e.threads
 
     def crowd(self, e):
-        """Threads of all routers on the engine, as far as this router can tell."""
-        if e.counted:
-            return max(self.load(e), e.threads)
-        return max(self.load(e), e.threads * self.routers)
+        """Threads of all routers on the engine: as reported, or by what this router has out there.
+
+        Guards against an engine that stalls between two reports: what is out grows at once. Where reports
+        count queries held, this router's part of them is known; else all routers count as alike.
+        """
+        others = min(self.routers, self.held / self.mine) if self.mine else self.routers
+        return max(self.load(e), e.threads * max(1.0, others))
 
     def free_memory(self, e):
         self.since(e)
