--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -104,7 +104,7 @@
     threads: int = 0  # of this router's submissions that are out
     memory: float = 0.0
     out: int = 0
-    holds: dict = field(default_factory=dict)  # table group: loads of this router running there
+    holds: list = field(default_factory=list)  # table groups of this router's loads running there
     sent: deque = field(default_factory=deque)  # (time, threads) not yet in a report
     cold: deque = field(default_factory=deque)  # (time, usual work) sent while cold
     reported: float | None = None  # threads in use at the last report
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -18,10 +18,7 @@
 # Every constant: its unit, and why it has this size.
 FACTOR = 2.0  # threads a core, all routers together: the design's starting bound
 LEAST_FACTOR = 1.0  # threads a core: an engine is never asked to idle its cores
-CUT, MEND = (
-    0.95,
-    0.01,
-)  # factor times CUT at a late answer, plus MEND at a timely one: settles near one late in ten
+CUT, MEND = 0.95, 0.01  # factor at a late answer, times; at a timely one, plus: settles near one late in ten
 MARGIN = 5 * MILLISECOND  # a final answer goes out this long before the client's end, plus two ticks
 SWEEP = 25 * MILLISECOND  # held work is looked at this often; far under any target runtime
 SMOOTH = 0.1  # share of the newest figure in a running mean: the last ten or so count
@@ -48,7 +45,6 @@
 
 NEVER_RAN = ("saturated", "refused_conn", "superseded")  # endings that prove it
 MAY_STILL_RUN = ("overdue", "severed", "recalled")  # endings after which a key rests
-NO_ANSWER = ("overdue", "recalled", "superseded")  # endings that are no sign of life
 BROKEN = ("refused_conn", "severed", "errored")  # endings that speak against the engine
 
 
@@ -75,12 +71,8 @@
         self.looks = []  # heap of (time, order, query id): look at this query again
         self.taken, self.extras, self.flow = deque(), deque(), deque()
         self.probe_credit = len(self.groups)
-        self.work = self.span = (
-            0.0  # core time of all queries taken, and their time alone: mean threads in flight
-        )
-        self.held = self.mine = (
-            0.0  # mean threads on an engine by reports that count them, and this router's of them
-        )
+        self.work = self.span = 0.0  # core time of all queries taken, and their time alone
+        self.held = self.mine = 0.0  # mean threads on an engine by reports that count, and our own there
         self.wake_at = None
         self.watch = catalog.get("discovery") == "on_request"
         self.planned = deque()
@@ -89,9 +81,9 @@
 
     def roster(self, now, mode, listings):
         self.now = now
+        self.watch |= mode == "Error" and self.catalog.get("discovery") == "on_request"
         if mode == "Error":
-            self.watch = self.catalog.get("discovery") == "on_request"
-            return
+            return  # the earlier list stands
         listed = {}
         for entry in listings:
             listed[entry.engine] = e = self.engines.setdefault(entry.engine, Engine(entry.engine, heard=now))
@@ -148,12 +140,10 @@
         e.out -= 1
         e.threads -= q.group.width
         e.memory -= q.memory
-        if q.group.is_load and q.tables in e.holds:
-            e.holds[q.tables] -= 1
-            if not e.holds[q.tables]:
-                del e.holds[q.tables]
-        if result not in NO_ANSWER:
-            e.heard = now
+        if q.group.is_load:
+            e.holds.remove(q.tables)
+        if result in ("finished", "errored", "saturated"):
+            e.heard = now  # time-outs are no sign of life
         if report:
             self.read_report(e, report)
         if result not in NEVER_RAN and q.ran is None:
@@ -285,9 +275,7 @@
         g = q.group
         if not e.ready or (g.zones is not None and e.zone not in g.zones):
             return False
-        if g.kinds is not None and e.kind not in g.kinds:
-            return False
-        if q.legs and not self.may_run_again(q):
+        if (g.kinds is not None and e.kind not in g.kinds) or (q.legs and not self.may_run_again(q)):
             return False
         if q.ran and g.effect == "tokened" and g.repeats != "all":
             first = self.engines[q.ran.engine]
@@ -308,9 +296,7 @@
 
     def fit(self, e):
         """Health: neither resting after failures nor silent with work out."""
-        if self.now < e.rest_until:
-            return False
-        return e.out < SEVERAL or self.now - e.heard < SILENT
+        return self.now >= e.rest_until and (e.out < SEVERAL or self.now - e.heard < SILENT)
 
     def pressed(self, e):
         slow = e.slowness is not None and e.slowness > SLOW * max(1.0, e.best)
@@ -423,9 +409,8 @@
             self.planned.append(("cancel", q.id, len(q.legs) - 1))
         if self.may_defer(q):
             heeded = self.catalog.get("limits.retry_after", False)
-            self.planned.append(
-                ("defer", q.id, self.catalog.get("limits.max_retry_after", 0) if heeded else 0)
-            )
+            after = self.catalog.get("limits.max_retry_after", 0) if heeded else 0
+            self.planned.append(("defer", q.id, after))
         else:
             self.planned.append(("kill", q.id))
         self.end(q)
@@ -476,7 +461,7 @@
         group and the engines' ids, so all routers split alike. Does harm where one half is short of engines.
         """
         order = sorted(self.engines, key=lambda n: crc32(f"{q.tables}:{n}".encode()))
-        half = {n for n in order[: len(order) // 2]}
+        half = set(order[: len(order) // 2])
         return [e for e in engines if (e.id in half) == q.group.is_load] or engines
 
     def send_team(self):
@@ -520,16 +505,14 @@
         e.cold.append((self.now, q.group.usual))
         self.home[q.tables] = e.id
         if q.group.is_load:
-            e.holds[q.tables] = e.holds.get(q.tables, 0) + 1
+            e.holds.append(q.tables)
 
     def set_terms(self, q):
         """Short and light work first, where engines heed priorities."""
         if not self.catalog.get("domain.ranks_heeded", False) or q.legs:
             return
-        if q.group.number in self.dashboards:
-            priority = 3
-        else:
-            priority = 2 if q.cost <= q.group.usual else 1 if q.cost <= 3 * q.group.usual else 0
+        light = 2 if q.cost <= q.group.usual else 1 if q.cost <= 3 * q.group.usual else 0
+        priority = 3 if q.group.number in self.dashboards else light
         self.planned.append(("terms", q.id, 0, priority))
 
     def probe(self):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -66,8 +66,10 @@
                 line.remove(q)
         q.place = "out"
         q.legs.append(Submission(engine, sent, q.cost))
-        self.router.engines[engine].out += 1
-        self.router.engines[engine].threads += q.group.width
+        e = self.router.engines[engine]
+        e.out, e.threads = e.out + 1, e.threads + q.group.width
+        if q.group.is_load:
+            e.holds.append(q.tables)
         if result:
             self.router.outcome(sent, q.id, 0, result, False, 0)
         return q
--- a/tests/test_teamwork.py
+++ b/tests/test_teamwork.py
@@ -120,7 +120,7 @@
 
 
 def test_dashboard_keeps_off_the_tables_a_load_holds(desk):
-    desk.router.engines[1].holds = desk.router.engines[2].holds = {4: 1}
+    desk.router.engines[1].holds = desk.router.engines[2].holds = [4]
     assert [e.id for e in desk.router.engines_for(desk.take(LOOKUP, tables=4))] == [3]
 
 
