--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -111,7 +111,6 @@
     granted: float | None = None  # share of its memory granted at the last report
     reported_at: Time = 0
     probed_at: Time = -(10**9)
-    heard: Time = 0
     pressed_until: Time = 0
     slowness: float | None = None  # time taken over time expected alone, smoothed
     best: float | None = None
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -6,8 +6,10 @@
 what is the design's, what departs from it and when; docs/oncall.md what will be seen at night.
 """
 
-from collections import defaultdict, deque
+from bisect import bisect
+from collections import Counter, defaultdict, deque
 from heapq import heappop, heappush
+from itertools import accumulate
 from zlib import crc32
 
 from hillchute.decision.state import Engine, Lane, Query, ResourceGroup, Submission
@@ -31,8 +33,6 @@
 SHARPNESS = 4  # power of the draw's weight: twice the load, a sixteenth of the draws
 REST = 100 * MILLISECOND  # first rest of an engine that failed; doubles with each failure in a row
 LONGEST_REST = 5 * SECOND  # an engine that is back is found at the latest after this
-SILENT = 3 * SECOND  # no answer for so long with several out: hung, whatever the reason
-SEVERAL = 3  # submissions out before silence says anything
 PATIENCE = 6.0  # times the expected run until a submission is taken as hung or badly planned
 EXTRA = 0.1  # own ration of further submissions per query taken: retries must not feed an overload
 EXTRA_START = 5  # further submissions free at the start, so that a quiet router can retry at all
@@ -40,6 +40,7 @@
 PROBE_EVERY = 400 * MILLISECOND  # per engine; reports are rarely fresher than that
 QUERIES_A_PROBE = 4  # queries taken for each probe: holds the price of probes to a quarter of one a query
 BACKLOG = 0.5  # share of the head's slack that the queue may need to drain before the least worthy go
+OVER = 1.25  # times a customer's fraction of the traffic: beyond what chance moves it in the ration's span
 CROWD = 1.5  # times an engine's factor: with so many threads a core a dashboard would only come too late
 FLOW_SPAN = 2 * SECOND  # over which the queue's outflow is measured
 
@@ -86,7 +87,7 @@
             return  # the earlier list stands
         listed = {}
         for entry in listings:
-            listed[entry.engine] = e = self.engines.setdefault(entry.engine, Engine(entry.engine, heard=now))
+            listed[entry.engine] = e = self.engines.setdefault(entry.engine, Engine(entry.engine))
             e.kind, e.cell, e.zone = entry.kind, entry.cell, entry.zone
             e.cores = self.per_kind("domain.kind_cores", entry.kind, 1)
             e.ram = self.per_kind("domain.ram_of_kind_mb", entry.kind, 0.0)
@@ -142,8 +143,6 @@
         e.memory -= q.memory
         if q.group.is_load:
             e.holds.remove(q.tables)
-        if result in ("finished", "errored", "saturated"):
-            e.heard = now  # time-outs are no sign of life
         if report:
             self.read_report(e, report)
         if result not in NEVER_RAN and q.ran is None:
@@ -207,10 +206,7 @@
             e.pressed_until = now + PRESSED  # no answer to a probe is as good as a busy report
 
     def progress(self, now, query, leg, topic, figure):
-        self.now = now
-        q = self.queries.get(query)
-        if topic == 1 and q is not None and leg < len(q.legs) and q.legs[leg].open:
-            self.engines[q.legs[leg].engine].heard = now
+        self.now = now  # notes tell of one submission, what is out tells of the engine sooner
 
     def streaming(self, now, query):
         self.now = now
@@ -295,8 +291,8 @@
     # ---- the engines --------------------------------------------------------------------------------
 
     def fit(self, e):
-        """Health: neither resting after failures nor silent with work out."""
-        return self.now >= e.rest_until and (e.out < SEVERAL or self.now - e.heard < SILENT)
+        """Health: not resting after failures. One that hangs is kept off by crowd(), as what is out grows."""
+        return self.now >= e.rest_until
 
     def pressed(self, e):
         slow = e.slowness is not None and e.slowness > SLOW * max(1.0, e.best)
@@ -341,13 +337,10 @@
     def draw(self, engines, q):
         """Chance, weighted against load."""
         weights = [(FLOOR + self.load(e) / e.cores) ** -SHARPNESS for e in engines]
+        marks = list(accumulate(weights))
         self.drawn += 1
-        mark = crc32(f"{self.seed}:{self.drawn}".encode()) / 2**32 * sum(weights)
-        for e, weight in zip(engines, weights):
-            mark -= weight
-            if mark < 0:
-                return e
-        return engines[-1]
+        chance = crc32(f"{self.seed}:{self.drawn}".encode()) / 2**32
+        return engines[bisect(marks, chance * marks[-1])]
 
     def expected(self, q, e=None):
         slow = [x.slowness for x in ([e] if e else self.engines.values()) if x.slowness is not None]
@@ -402,7 +395,17 @@
         head = self.queue[0]
         slack = self.latest_start(head) - head.taken
         if sum(q.cost for q in self.queue) * FLOW_SPAN / out > BACKLOG * max(slack, 0) + self.margin:
-            self.give_up(max(self.queue, key=lambda q: (q.cost / q.group.usual, q.id)))
+            over = self.over_share()
+            self.give_up(max(self.queue, key=lambda q: (q.tenant in over, q.cost / q.group.usual, q.id)))
+
+    def over_share(self):
+        """Customers well over their share of late, by fraction and by rate: value beyond it goes first."""
+        span, over = max(SECOND, self.now - self.taken[0][0]), set()
+        for tenant, n in Counter(t for _, t in self.taken).items():
+            fraction, rate = (self.catalog.get(f"parties.{tenant}.{x}") for x in ("fraction", "quota_per_s"))
+            if rate and n > OVER * fraction * len(self.taken) and n * self.routers * SECOND > rate * span:
+                over.add(tenant)
+        return over
 
     def give_up(self, q):
         if q.out and self.catalog.get("limits.cancel", False):
@@ -429,20 +432,17 @@
 
     def send_dashboards(self):
         """Dashboards skip the queue and the bound."""
-        for _ in range(len(self.dash)):
-            q = self.dash[0]
+        for q in self.dash:
             engines = self.engines_for(q)
             if not engines:
-                self.dash.rotate(-1)
                 continue
             # Guards against a jam: engines full of dashboards, clients' retries keeping them full. Covers
             # bursts, slowdowns and lost engines alike; does harm where reports lag a load that has gone.
             engines = [e for e in engines if self.crowd(e) < CROWD * e.factor * e.cores]
             if not engines:
-                self.give_up(q)
-                return
-            self.submit(self.dash.popleft(), self.draw(engines, q))
-            return
+                return self.give_up(q)
+            self.dash.remove(q)
+            return self.submit(q, self.draw(engines, q))
 
     def engines_for(self, q):
         """Engines that may take it and are fit; a query that waits for loads keeps off their tables."""
@@ -495,8 +495,6 @@
         self.planned.append(("submit", q.id, e.id, max(1, within)))
         q.legs.append(Submission(e.id, self.now, q.cost * q.group.scale))
         q.place = "out"
-        if not e.out:
-            e.heard = self.now
         e.out += 1
         e.threads += q.group.width
         e.memory += q.memory
