--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -277,7 +277,7 @@
             first = self.engines[q.ran.engine]
             if e.zone != first.zone or (g.repeats == "cell" and e.cell != first.cell):
                 return False
-        return self.warm_enough(e, g.usual)
+        return self.warm_enough(e, g.usual * max(1.0, g.scale))
 
     def warm_enough(self, e, work):
         """Rule 4: a cold engine gets from this router its share of what the engine can do at its coldest."""
@@ -500,7 +500,7 @@
         e.memory += q.memory
         e.sent.append((self.now, q.group.width, q.memory))
         trim(e.cold, self.now - self.catalog.get("guarantees.fall", 0) - 1)
-        e.cold.append((self.now, q.group.usual))
+        e.cold.append((self.now, q.group.usual * max(1.0, q.group.scale)))
         self.home[q.tables] = e.id
         if q.group.is_load:
             e.holds.append(q.tables)
