--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -39,7 +39,7 @@
 RATION_SPAN = 10 * SECOND  # over which the own ration is counted: longer than a short fault
 PROBE_EVERY = 400 * MILLISECOND  # per engine; reports are rarely fresher than that
 QUERIES_A_PROBE = 4  # queries taken for each probe: holds the price of probes to a quarter of one a query
-BACKLOG = 0.5  # share of the head's slack that the queue may need to drain before the least worthy go
+BACKLOG = 0.5  # share of the head's slack that the queue may need to drain before it sheds
 OVER = 1.25  # times a customer's fraction of the traffic: beyond what chance moves it in the ration's span
 CROWD = 1.5  # times an engine's factor: with so many threads a core a dashboard would only come too late
 FLOW_SPAN = 2 * SECOND  # over which the queue's outflow is measured
@@ -391,7 +391,7 @@
         self.shed()
 
     def shed(self):
-        """Overload: when the queue would outlast half the head's slack, the least worth its work goes."""
+        """Overload: when the queue would outlast half the head's slack, the heaviest for its group goes."""
         trim(self.flow, self.now - FLOW_SPAN)
         if len(self.queue) < 2 or self.planned:
             return
