Mend after a read of the whole change: formulas said once, dead fields gone

The time alone and the usual work that rule 4 weighs were each written twice, a cold engine's line was trimmed in two places, free memory called since() for its side effect, probe() repeated fit(), and a group's value and late value were read by nothing.

--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -13,8 +13,6 @@
     number: int
     target: Time
     stretch: float
-    value: float
-    late_value: float
     effect: str
     repeats: str
     window: Time
@@ -47,8 +45,6 @@
             number=n,
             target=own("target_runtime", 0),
             stretch=own("target_stretch", 0.0),
-            value=own("value", 1.0),
-            late_value=own("late_value", 0.0),
             effect=own("effect", "mutating"),
             repeats=own("repeats_dropped_by", "cell"),
             window=own("window", 0),
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -267,7 +267,7 @@
         return q.group.effect == "tokened" and q.group.repeats == "all"
 
     def allowed(self, e, q):
-        """Rules 2, 3, 4 and 6: may this query go to this engine now, whatever the load?"""
+        """Rules 2, 3, 4, 6 and 7: may this query go to this engine now, whatever the load?"""
         g = q.group
         if not e.ready or (g.zones is not None and e.zone not in g.zones):
             return False
@@ -277,14 +277,17 @@
             first = self.engines[q.ran.engine]
             if e.zone != first.zone or (g.repeats == "cell" and e.cell != first.cell):
                 return False
-        return self.warm_enough(e, g.usual * max(1.0, g.scale))
+        return self.warm_enough(e, self.usual_work(g))
+
+    def usual_work(self, g):
+        return g.usual * max(1.0, g.scale)  # estimates may be low: rule 4 weighs true work
 
     def warm_enough(self, e, work):
         """Rule 4: a cold engine gets from this router its share of what the engine can do at its coldest."""
-        if e.started <= 0 or self.now >= e.started + self.catalog.get("guarantees.cold", 0):
-            return True
         span = self.catalog.get("guarantees.fall", 0)
         trim(e.cold, self.now - span - 1)
+        if e.started <= 0 or self.now >= e.started + self.catalog.get("guarantees.cold", 0):
+            return True
         budget = self.catalog.get("guarantees.cold_from", 0) * e.cores * span / self.routers
         return sum(w for _, w in e.cold) + work <= budget
 
@@ -300,14 +303,15 @@
 
     def since(self, e):
         trim(e.sent, max(e.reported_at - LAG, self.now - PRESSED))
-        return sum(threads for _, threads, _ in e.sent)
+        return sum(t for _, t, _ in e.sent), sum(mb for _, _, mb in e.sent)  # threads, memory
 
     def load(self, e):
         """Threads on the engine: as reported plus this router's since; unheard, the average of the others."""
+        threads, _ = self.since(e)
         if e.reported is not None:
-            return e.reported + self.since(e)
+            return e.reported + threads
         heard = [x.reported for x in self.engines.values() if x.ready and x.reported is not None]
-        return sum(heard) / len(heard) + self.since(e) if heard else e.threads
+        return sum(heard) / len(heard) + threads if heard else e.threads
 
     def crowd(self, e):
         """Threads of all routers on the engine: as reported, or by what this router has out there.
@@ -319,8 +323,7 @@
         return max(self.load(e), e.threads * max(1.0, others))
 
     def free_memory(self, e):
-        self.since(e)
-        given = e.memory if e.granted is None else e.granted * e.ram + sum(mb for _, _, mb in e.sent)
+        given = e.memory if e.granted is None else e.granted * e.ram + self.since(e)[1]
         return e.ram - max(e.memory, given)
 
     def room(self, e, q):
@@ -346,15 +349,17 @@
         chance = crc32(f"{self.seed}:{self.drawn}".encode()) / 2**32
         return engines[bisect(marks, chance * marks[-1])]
 
+    def alone(self, q):
+        return q.cost * q.group.scale / q.group.width
+
     def expected(self, q, e=None):
         slow = [x.slowness for x in ([e] if e else self.engines.values()) if x.slowness is not None]
         slowness = max(1.0, sum(slow) / len(slow)) if slow else 1.0
-        return int(q.cost * q.group.scale / q.group.width * slowness)
+        return int(self.alone(q) * slowness)
 
     def latest_start(self, q):
         """The last moment at which a start still makes the target runtime."""
-        alone = q.cost * q.group.scale / q.group.width
-        return q.taken + q.group.target + int(q.group.stretch * alone) - self.expected(q)
+        return q.taken + q.group.target + int(q.group.stretch * self.alone(q)) - self.expected(q)
 
     # ---- deciding -----------------------------------------------------------------------------------
 
@@ -395,8 +400,8 @@
         trim(self.flow, self.now - FLOW_SPAN)
         if len(self.queue) < 2 or self.planned:
             return
-        out = max(sum(work for _, work in self.flow), self.queue[0].cost)
         head = self.queue[0]
+        out = max(sum(work for _, work in self.flow), head.cost)
         slack = self.latest_start(head) - head.taken
         if sum(q.cost for q in self.queue) * FLOW_SPAN / out > BACKLOG * max(slack, 0) + self.margin:
             over = self.over_share()
@@ -477,10 +482,10 @@
             return  # the leader waits for the next outcome
         home = self.engines.get(self.home.get(leader.tables))
         e = home if home in engines else self.draw(engines, leader)
-        slots = self.room(e, leader)
         team = [leader]
         if not leader.group.is_load:
             mates = (q for q in self.queue if q.tables == leader.tables and not q.group.is_load)
+            slots = self.room(e, leader)
             team += [q for q in mates if q is not leader and e in self.engines_for(q)][: slots - 1]
         for q in team:
             if q is leader or self.allowed(e, q):
@@ -503,8 +508,7 @@
         e.threads += q.group.width
         e.memory += q.memory
         e.sent.append((self.now, q.group.width, q.memory))
-        trim(e.cold, self.now - self.catalog.get("guarantees.fall", 0) - 1)
-        e.cold.append((self.now, q.group.usual * max(1.0, q.group.scale)))
+        e.cold.append((self.now, self.usual_work(q.group)))
         self.home[q.tables] = e.id
         if q.group.is_load:
             e.holds.append(q.tables)
@@ -521,7 +525,7 @@
         """Where reports come by probes alone: the engine probed longest ago, paced by the queries taken."""
         if self.catalog.get("report.via") != "probe" or not self.catalog.get("limits.probes", False):
             return
-        ready = [e for e in self.engines.values() if e.ready and self.now >= e.rest_until]
+        ready = [e for e in self.engines.values() if e.ready and self.fit(e)]
         if self.probe_credit >= 1 and ready:
             e = min(ready, key=lambda e: e.probed_at)
             if self.now - e.probed_at >= PROBE_EVERY:
