Jams at many routers: weight limit by pressure, others by our part, reports that fade

Cause: at full size every router held one query on every engine, or shut an engine for one query of its own out there, and used reports a minute old as if fresh. All engines filled at once; on the paging deployment a jam never drained. Folded into it: the queue shed (now the head's wait counts as pressure), the moving factor, our own ration of retries, the engine's best latency.

--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -62,8 +62,10 @@
     engine: EngineId
     sent: Time
     work: float
+    alone: float  # the time that it would take alone
     open: bool = True
     result: str = ""
+    ratio: float = 0.0  # time taken over time alone, once known
 
 
 @dataclass(slots=True)
@@ -108,9 +110,6 @@
     reported_at: Time = 0
     probed_at: Time = -(10**9)
     pressed_until: Time = 0
-    slowness: float | None = None  # time taken over time expected alone, smoothed
-    best: float | None = None
-    factor: float = 0.0
     fails: int = 0
     rest_until: Time = 0
 
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -7,7 +7,7 @@
 """
 
 from bisect import bisect
-from collections import Counter, defaultdict, deque
+from collections import defaultdict, deque
 from heapq import heappop, heappush
 from itertools import accumulate
 from zlib import crc32
@@ -19,13 +19,10 @@
 
 # Every constant: its unit, and why it has this size.
 FACTOR = 2.0  # threads a core, all routers together: the design's starting bound
-LEAST_FACTOR = 1.0  # threads a core: an engine is never asked to idle its cores
-CUT, MEND = 0.95, 0.01  # factor at a late answer, times; at a timely one, plus: settles near one late in ten
 MARGIN = 5 * MILLISECOND  # a final answer goes out this long before the client's end, plus two ticks
 SWEEP = 25 * MILLISECOND  # held work is looked at this often; far under any target runtime
 SMOOTH = 0.1  # share of the newest figure in a running mean: the last ten or so count
-SLOW = 3.0  # latency over its best that is pressure: targets commonly leave room for about that
-BEST_DRIFT = 1.002  # a best grows by this at each answer, so that an engine's past does not bind for ever
+SLOW = 3.0  # times its time alone that is pressure: targets commonly leave room for about that
 PRESSED = 2 * SECOND  # a busy report counts until the next one, but no longer than this
 BUSY = 0.9  # share of a resource in use that is a busy report: reports are noisy by a few hundredths
 LAG = 500 * MILLISECOND  # a report may be this old when it comes: sends before it still count beside it
@@ -34,15 +31,21 @@
 REST = 100 * MILLISECOND  # first rest of an engine that failed; doubles with each failure in a row
 LONGEST_REST = 5 * SECOND  # an engine that is back is found at the latest after this
 PATIENCE = 6.0  # times the expected run until a submission is taken as hung or badly planned
-EXTRA = 0.1  # own ration of further submissions per query taken: retries must not feed an overload
-EXTRA_START = 5  # further submissions free at the start, so that a quiet router can retry at all
-RATION_SPAN = 10 * SECOND  # over which the own ration is counted: longer than a short fault
+TRAFFIC_SPAN = 10 * SECOND  # over which customers' traffic is counted: longer than a short fault
+FADE = 1 * SECOND  # a report's half life: most queries that it counted have ended two or three of them later
+FEW = 4.0  # threads: a few short queries; with less out, a router's part of an engine is mostly chance
 PROBE_EVERY = 400 * MILLISECOND  # per engine; reports are rarely fresher than that
-QUERIES_A_PROBE = 4  # queries taken for each probe: holds the price of probes to a quarter of one a query
-BACKLOG = 0.5  # share of the head's slack that the queue may need to drain before it sheds
-OVER = 1.25  # times a customer's fraction of the traffic: beyond what chance moves it in the ration's span
-CROWD = 1.5  # times an engine's factor: with so many threads a core a dashboard would only come too late
-FLOW_SPAN = 2 * SECOND  # over which the queue's outflow is measured
+QUERIES_A_PROBE = 1  # queries taken for each probe: a quiet router then knows a few engines afresh
+OVER = 1.25  # times a customer's fraction of the traffic: beyond chance; it feels the pressure so much more
+CROWD = 1.5  # times the bound: with so many threads a core a dashboard would only come too late
+PACE_SPAN = 4 * SECOND  # submissions of late: enough of them at a quiet router, few of a time that has gone
+LEAST_SAMPLES = 3  # submissions: the fewest whose median is not one chance
+GRAIN = 20 * MILLISECOND  # shorter times are mostly the network's and the clock's
+FULL = 10.0  # times alone that a refusal as full counts as: more than any target leaves room for
+HEAVY = 4.0  # times its group's mean work: a query so heavy is not let in at the pressure EASE
+BACKLOG = 3.0  # pressure when the queue's head has waited all its slack; EASE at half of it
+EASE = 1.5  # times alone, or threads a core: about where engines get less done in all
+STEEP = 3  # at twice the pressure a quarter of the weight, at four times a sixteenth: the lightest few
 
 NEVER_RAN = ("saturated", "refused_conn", "superseded")  # endings that prove it
 MAY_STILL_RUN = ("overdue", "severed", "recalled")  # endings after which a key rests
@@ -70,10 +73,12 @@
         self.queue, self.dash = deque(), deque()  # waiting: teams to be, and dashboards with no engine
         self.home = {}  # table group: the engine that last ran it
         self.looks = []  # heap of (time, order, query id): look at this query again
-        self.taken, self.extras, self.flow = deque(), deque(), deque()
+        self.taken, self.extras = deque(), deque()
         self.probe_credit = len(self.groups)
         self.work = self.span = 0.0  # core time of all queries taken, and their time alone
-        self.held = self.mine = 0.0  # mean threads on an engine by reports that count, and our own there
+        self.held, self.mine = None, 0.0  # mean threads: a core's as reported, our own on an engine then
+        self.recent = deque()  # (time, submission) of late
+        self.counted = "inflight" in catalog.get("report.columns", ())  # whether reports count queries held
         self.wake_at = None
         self.watch = catalog.get("discovery") == "on_request"
         self.planned = deque()
@@ -91,10 +96,9 @@
             e.kind, e.cell, e.zone = entry.kind, entry.cell, entry.zone
             e.cores = self.per_kind("domain.kind_cores", entry.kind, 1)
             e.ram = self.per_kind("domain.ram_of_kind_mb", entry.kind, 0.0)
-            e.factor = e.factor or FACTOR
             e.ready = entry.state == "Ready"
             if entry.started > e.started:
-                e.started, e.fails, e.rest_until, e.slowness = entry.started, 0, now, None
+                e.started, e.fails, e.rest_until = entry.started, 0, now
         if mode != "Partial":
             for engine_id, e in self.engines.items():
                 e.ready = e.ready and engine_id in listed
@@ -106,7 +110,7 @@
     def take(self, now, query, group, due, tables=None, tenant=0, cost=None, memory=0.0, key=None):
         self.now = now
         for line in (self.taken, self.extras):
-            trim(line, now - max(RATION_SPAN, self.catalog.get("guarantees.look_back") or 0) - 2)
+            trim(line, now - max(TRAFFIC_SPAN, self.catalog.get("guarantees.look_back") or 0) - 2)
         g = self.groups[group]
         cost = cost or g.usual or g.target * g.width // 2
         g.usual += SMOOTH * (cost - g.usual) if g.usual else cost
@@ -124,6 +128,7 @@
     def line_up(self, q, front=False):
         line, q.place = (self.dash, "dash") if q.group.number in self.dashboards else (self.queue, "queue")
         line.appendleft(q) if front else line.append(q)
+        self.look(q, self.now)
         self.look(q, self.latest_start(q))
 
     def look(self, q, at):
@@ -159,21 +164,16 @@
 
     def judge(self, e, q, sub, result, elapsed, cost):
         """An engine's health, from how one submission ended."""
-        alone = sub.work / q.group.width
-        if result == "finished" and elapsed <= q.group.target + q.group.stretch * alone:
-            e.factor = min(FACTOR, e.factor + MEND)
-        elif result in ("finished", "overdue", "saturated"):
-            e.factor = max(LEAST_FACTOR, e.factor * CUT)
+        if result in ("finished", "overdue"):
+            sub.ratio = max(GRAIN, elapsed) / max(GRAIN, cost / q.group.width if cost else sub.alone)
+        elif result == "saturated":
+            sub.ratio = FULL
+        if sub.ratio > SLOW:
+            e.pressed_until = self.now + PRESSED
         if result == "finished":
             e.fails = 0
             if cost:
-                g = q.group
-                g.scale += SMOOTH * (min(5.0, max(0.2, cost / q.cost)) - g.scale)
-            ratio = elapsed * q.group.width / max(1, cost or sub.work)
-            e.slowness = ratio if e.slowness is None else e.slowness + SMOOTH * (ratio - e.slowness)
-            e.best = e.slowness if e.best is None else min(e.best * BEST_DRIFT, e.slowness)
-        elif result == "saturated":
-            e.pressed_until = self.now + PRESSED
+                q.group.scale += SMOOTH * (min(5.0, max(0.2, cost / q.cost)) - q.group.scale)
         elif result in BROKEN:
             # Guards against an engine that is down, or answers fast with nothing but errors and so draws
             # ever more traffic. A lone failure costs nothing: connections may break on engines that are well.
@@ -186,13 +186,16 @@
     def read_report(self, e, report):
         if "inflight" in report:
             e.reported = report["inflight"] * self.work / self.span if self.span else report["inflight"]
-            self.held += SMOOTH * (e.reported - self.held)
-            self.mine += SMOOTH * (e.threads - self.mine)
         elif "util" in report:
             e.reported = report["util"] * e.cores
-        e.reported_at = self.now
+        self.mine += SMOOTH * (e.threads - self.mine)
         meant = {self.catalog.get(f"domain.report_{x}"): report.get(x) for x in ("x0", "x1")}
         e.granted = meant.get("share_of_memory_granted")
+        if e.reported is not None:
+            e.reported = max(e.reported, (e.granted or 0) * FACTOR * e.cores)
+            mean = e.reported / e.cores
+            self.held = mean if self.held is None else self.held + SMOOTH * (mean - self.held)
+        e.reported_at = self.now
         shares = report.get("util"), e.granted, meant.get("share_of_disks_busy")
         busy = max(share or 0 for share in shares) >= BUSY or report.get("queue", 0) >= 1
         e.pressed_until = self.now + (PRESSED if busy else 0)
@@ -202,8 +205,6 @@
         e = self.engines.get(engine)
         if e is not None and report:
             self.read_report(e, report)
-        elif e is not None and result != "superseded":
-            e.pressed_until = now + PRESSED  # no answer to a probe is as good as a busy report
 
     def progress(self, now, query, leg, topic, figure):
         self.now = now  # notes tell of one submission, what is out tells of the engine sooner
@@ -240,25 +241,17 @@
             return False  # never two at once, also where that is allowed: it would feed an overload
         if q.ran and q.group.effect == "tokened" and self.now + 1 >= q.ran.sent + q.group.window:
             return False
-        return not q.legs or self.ration_left(q)
+        return not q.legs or self.ration_left()
 
-    def ration_left(self, q):
-        """Rule 7, and our own ration: where work was too much for the engines, retries must not add to it.
-
-        Broken connections and errors are not rationed by us: they say nothing of load, and engines that
-        break them one after another rest.
-        """
-        stated = self.catalog.get("guarantees.look_back")
+    def ration_left(self):
+        """Rule 7. Beyond it retries are held by too_heavy() alone, so that they do not feed an overload."""
+        span = self.catalog.get("guarantees.look_back")
+        if not span:
+            return True
         least, share = (self.catalog.get(f"guarantees.{x}", 0) for x in ("min_extra", "extra_share"))
-        rations = [(stated, least, share)] if stated else []
-        if q.legs and q.legs[-1].result not in BROKEN:
-            rations.append((RATION_SPAN, EXTRA_START, EXTRA))
-        for span, free, per_query in rations:
-            # The clock is rounded: count a little more of what was used, a little less of what was taken.
-            used = sum(t >= self.now - span - 2 for (t,) in self.extras)
-            if used + 1 > free + per_query * sum(t >= self.now - span + 2 for t, _ in self.taken):
-                return False
-        return True
+        # The clock is rounded: count a little more of what was used, a little less of what was taken.
+        used = sum(t >= self.now - span - 2 for (t,) in self.extras)
+        return used + 1 <= least + share * sum(t >= self.now - span + 2 for t, _ in self.taken)
 
     def may_defer(self, q):
         """Rule 2: a deferral tells the client that trying again is harmless."""
@@ -293,53 +286,51 @@
 
     # ---- the engines --------------------------------------------------------------------------------
 
-    def fit(self, e):
-        """Health: not resting after failures. One that hangs is kept off by crowd(), as what is out grows."""
-        return self.now >= e.rest_until
-
-    def pressed(self, e):
-        slow = e.slowness is not None and e.slowness > SLOW * max(1.0, e.best)
-        return slow or self.now < e.pressed_until
-
     def since(self, e):
         trim(e.sent, max(e.reported_at - LAG, self.now - PRESSED))
         return sum(t for _, t, _ in e.sent), sum(mb for _, _, mb in e.sent)  # threads, memory
 
     def load(self, e):
-        """Threads on the engine: as reported plus this router's since; unheard, the average of the others."""
+        """Threads on the engine: as reported plus this router's since; unheard, the average of the reports.
+
+        A report goes over into the average as it ages: what it told has gone after a few queries' time.
+        """
         threads, _ = self.since(e)
-        if e.reported is not None:
-            return e.reported + threads
-        heard = [x.reported for x in self.engines.values() if x.ready and x.reported is not None]
-        return sum(heard) / len(heard) + threads if heard else e.threads
+        if self.held is None:
+            return e.threads
+        mean, known = self.held * e.cores, 0.5 ** ((self.now - e.reported_at) / FADE)
+        return threads + (mean if e.reported is None else mean + (e.reported - mean) * known)
 
     def crowd(self, e):
         """Threads of all routers on the engine: as reported, or by what this router has out there.
 
         Guards against an engine that stalls between two reports: what is out grows at once. Where reports
-        count queries held, this router's part of them is known; else all routers count as alike.
+        count queries held, this router's part of them is known; else all routers count as alike. With few
+        threads out a part is mostly chance, and the others count for less.
         """
-        others = min(self.routers, self.held / self.mine) if self.mine else self.routers
-        return max(self.load(e), e.threads * max(1.0, others))
-
-    def free_memory(self, e):
-        given = e.memory if e.granted is None else e.granted * e.ram + self.since(e)[1]
-        return e.ram - max(e.memory, given)
+        part = self.held * e.cores / self.mine if self.counted and self.mine else self.routers
+        others = (min(self.routers, part) - 1) * (self.mine / (self.mine + FEW) if self.mine else 1)
+        return max(self.load(e), e.threads * (1 + max(0.0, others)))
 
     def room(self, e, q):
         """How many queries like this one the engine has slots and room for."""
         width = q.group.width
         # Guards against starving: dashboards may fill an engine past its bound, so one that has waited half
         # of its slack may go as far. Acts in overload only; does harm where the engine is about to page.
-        waited = self.now > (q.taken + self.latest_start(q)) / 2
-        bound = e.factor * e.cores * (CROWD if waited else 1)
+        bound = FACTOR * e.cores * (CROWD if self.waited(q) > 0.5 else 1)
         free = bound - self.crowd(e)
-        if self.pressed(e):
-            free = min(free, max(width, bound / self.routers) - e.threads)
+        least = 1
+        if self.now < e.pressed_until:
+            share = bound / self.routers
+            free = min(free, max(width, share) - e.threads)
+            # Guards against many routers whose bound is under one query: each then has one by chance only.
+            least = int(crc32(f"{q.id}:{e.id}".encode()) / 2**32 < share / width)
+            free = free if share >= width or least else 0
         slots = int(free // width)
         if q.memory and e.ram:
-            slots = min(slots, int(self.free_memory(e) // q.memory))
-        return max(0, slots, int(not e.out))
+            given = 0 if e.granted is None else e.granted * e.ram + self.since(e)[1]
+            slots = min(slots, int((e.ram - max(e.memory, given)) // q.memory))
+        return max(0, slots, least * int(not e.out))
 
     def draw(self, engines, q):
         """Chance, weighted against load."""
@@ -352,10 +343,42 @@
     def alone(self, q):
         return q.cost * q.group.scale / q.group.width
 
-    def expected(self, q, e=None):
-        slow = [x.slowness for x in ([e] if e else self.engines.values()) if x.slowness is not None]
-        slowness = max(1.0, sum(slow) / len(slow)) if slow else 1.0
-        return int(self.alone(q) * slowness)
+    def expected(self, q):
+        return int(self.alone(q) * max(1.0, self.pace()))
+
+    def pace(self):
+        """How many times its time alone a query takes now: the median of the submissions of late.
+
+        One that is out counts as soon as it is older than its time alone, so that a jam shows before its
+        first answer. A median: lost answers, bad plans and loads in the way are the fewer.
+        """
+        trim(self.recent, self.now - PACE_SPAN)
+        ratios = [sub.ratio or (self.now - sub.sent) / sub.alone for _, sub in self.recent]
+        ratios = sorted(r for (_, sub), r in zip(self.recent, ratios) if sub.ratio or (sub.open and r > 1))
+        return ratios[len(ratios) // 2] if len(ratios) >= LEAST_SAMPLES else 1.0
+
+    def too_heavy(self, q):
+        """Overload: the more crowded the engines, the lighter for its group a query must be to be let in.
+
+        Guards against a jam of all engines, in which no router's own queue grows. Covers whatever makes the
+        work too much: bursts, lost engines, slowdowns, retries. Does harm where estimates are worthless.
+        """
+        # Reports that count what engines hold tell a crowd from a slowdown; elsewhere only the pace does.
+        pace = self.pace() / (2 if self.counted else 1)
+        pressure = max(pace, self.held or 0, BACKLOG * self.waited(self.queue[0]) if self.queue else 0)
+        pressure *= OVER if self.over_share(q.tenant) else 1
+        return q.cost > q.group.usual * HEAVY * (EASE / pressure) ** STEEP
+
+    def waited(self, q):
+        """The share of its slack that a query has waited."""
+        return (self.now - q.taken) / max(1, self.latest_start(q) - q.taken)
+
+    def over_share(self, tenant):
+        """Is the customer well over its share of late, by fraction and by rate?"""
+        span, n = max(SECOND, self.now - self.taken[0][0]), sum(t == tenant for _, t in self.taken)
+        fraction, rate = (self.catalog.get(f"parties.{tenant}.{x}") for x in ("fraction", "quota_per_s"))
+        many = rate and n > OVER * fraction * len(self.taken)
+        return many and n * self.routers * SECOND > rate * span
 
     def latest_start(self, q):
         """The last moment at which a start still makes the target runtime."""
@@ -366,18 +389,16 @@
     def decide(self, now):
         self.now = now
         if not self.planned:
-            stages = (self.follow, self.settle, self.lanes_move, self.send_dashboards, self.send_team)
-            for stage in (*stages, self.probe, self.set_alarm):
+            if self.watch:
+                self.watch = False
+                return ("watch",)
+            stages = (self.settle, self.lanes_move, self.send_dashboards, self.send_team, self.probe)
+            for stage in (*stages, self.set_alarm):
                 stage()
                 if self.planned:
                     break
         return self.planned.popleft() if self.planned else None
 
-    def follow(self):
-        if self.watch:
-            self.planned.append(("watch",))
-        self.watch = False
-
     def settle(self):
         """Look at the queries whose time has come: answer those that are over, send again those that may."""
         while self.looks and self.looks[0][0] <= self.now and not self.planned:
@@ -391,37 +412,14 @@
                     self.line_up(q, front=True)
                 else:
                     self.give_up(q)
-            elif q.place in ("queue", "dash") and self.now >= self.latest_start(q):
+            elif q.place in ("queue", "dash") and (self.now >= self.latest_start(q) or self.too_heavy(q)):
                 self.give_up(q)
-        self.shed()
-
-    def shed(self):
-        """Overload: when the queue would outlast half the head's slack, the heaviest for its group goes."""
-        trim(self.flow, self.now - FLOW_SPAN)
-        if len(self.queue) < 2 or self.planned:
-            return
-        head = self.queue[0]
-        out = max(sum(work for _, work in self.flow), head.cost)
-        slack = self.latest_start(head) - head.taken
-        if sum(q.cost for q in self.queue) * FLOW_SPAN / out > BACKLOG * max(slack, 0) + self.margin:
-            over = self.over_share()
-            self.give_up(max(self.queue, key=lambda q: (q.tenant in over, q.cost / q.group.usual, q.id)))
-
-    def over_share(self):
-        """Customers well over their share of late, by fraction and by rate: value beyond it goes first."""
-        span, over = max(SECOND, self.now - self.taken[0][0]), set()
-        for tenant, n in Counter(t for _, t in self.taken).items():
-            fraction, rate = (self.catalog.get(f"parties.{tenant}.{x}") for x in ("fraction", "quota_per_s"))
-            if rate and n > OVER * fraction * len(self.taken) and n * self.routers * SECOND > rate * span:
-                over.add(tenant)
-        return over
 
     def give_up(self, q):
         if q.out and self.catalog.get("limits.cancel", False):
             self.planned.append(("cancel", q.id, len(q.legs) - 1))
         if self.may_defer(q):
-            heeded = self.catalog.get("limits.retry_after", False)
-            after = self.catalog.get("limits.max_retry_after", 0) if heeded else 0
+            after = self.catalog.get("limits.retry_after") and self.catalog.get("limits.max_retry_after") or 0
             self.planned.append(("defer", q.id, after))
         else:
             self.planned.append(("kill", q.id))
@@ -447,7 +445,7 @@
                 continue
             # Guards against a jam: engines full of dashboards, clients' retries keeping them full. Covers
             # bursts, slowdowns and lost engines alike; does harm where reports lag a load that has gone.
-            engines = [e for e in engines if self.crowd(e) < CROWD * e.factor * e.cores]
+            engines = [e for e in engines if self.crowd(e) < CROWD * FACTOR * e.cores]
             if not engines:
                 return self.give_up(q)
             self.dash.remove(q)
@@ -455,7 +453,7 @@
 
     def engines_for(self, q):
         """Engines that may take it and are fit; a query that waits for loads keeps off their tables."""
-        engines = [e for e in self.engines.values() if self.allowed(e, q) and self.fit(e)]
+        engines = [e for e in self.engines.values() if self.allowed(e, q) and self.now >= e.rest_until]
         if q.group.waits or q.group.is_load:
             engines = self.side(engines, q)
             engines = [e for e in engines if q.tables not in e.holds] or engines
@@ -490,7 +488,6 @@
         for q in team:
             if q is leader or self.allowed(e, q):
                 self.queue.remove(q)
-                self.flow.append((self.now, q.cost))
                 self.submit(q, e)
 
     def submit(self, q, e):
@@ -499,10 +496,12 @@
         within = q.due - self.margin - self.now
         if self.catalog.get("limits.cancel", False) and q.group.effect == "read-only":
             # Guards against a hung member and a bad plan where a time-out frees the engine.
-            within = min(within, int(max(q.group.target, PATIENCE * self.expected(q, e))))
+            within = min(within, int(max(q.group.target, PATIENCE * self.expected(q))))
         self.set_terms(q)
         self.planned.append(("submit", q.id, e.id, max(1, within)))
-        q.legs.append(Submission(e.id, self.now, q.cost * q.group.scale))
+        sub = Submission(e.id, self.now, q.cost * q.group.scale, max(GRAIN, self.alone(q)))
+        q.legs.append(sub)
+        self.recent.append((self.now, sub))
         q.place = "out"
         e.out += 1
         e.threads += q.group.width
@@ -525,7 +524,7 @@
         """Where reports come by probes alone: the engine probed longest ago, paced by the queries taken."""
         if self.catalog.get("report.via") != "probe" or not self.catalog.get("limits.probes", False):
             return
-        ready = [e for e in self.engines.values() if e.ready and self.fit(e)]
+        ready = [e for e in self.engines.values() if e.ready and self.now >= e.rest_until]
         if self.probe_credit >= 1 and ready:
             e = min(ready, key=lambda e: e.probed_at)
             if self.now - e.probed_at >= PROBE_EVERY:
