--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -75,7 +75,7 @@
         self.looks = []  # heap of (time, order, query id): look at this query again
         self.taken, self.extras = deque(), deque()
         self.probe_credit = len(self.groups)
-        self.work = self.span = 0.0  # core time of all queries taken, and their time alone
+        self.work = self.span = 0.0  # core time of all submissions, and their time alone
         self.held, self.mine = None, 0.0  # mean threads: a core's as reported, our own on an engine then
         self.recent = deque()  # (time, submission) of late
         self.counted = "inflight" in catalog.get("report.columns", ())  # whether reports count queries held
@@ -116,7 +116,6 @@
         g.usual += SMOOTH * (cost - g.usual) if g.usual else cost
         q = self.queries[query] = Query(query, g, now, due, tables, tenant, cost, memory, key)
         self.taken.append((now, tenant))
-        self.work, self.span = self.work + cost, self.span + cost / g.width
         self.probe_credit = min(self.probe_credit + 1 / QUERIES_A_PROBE, len(self.engines))
         self.look(q, due - self.margin)
         if g.in_order and key is not None:
@@ -193,7 +192,7 @@
         e.granted = meant.get("share_of_memory_granted")
         if e.reported is not None:
             e.reported = max(e.reported, (e.granted or 0) * FACTOR * e.cores)
-            mean = e.reported / e.cores
+            mean = min(2 * CROWD * FACTOR, e.reported / e.cores)  # one jammed engine is not a crowd on all
             self.held = mean if self.held is None else self.held + SMOOTH * (mean - self.held)
         e.reported_at = self.now
         shares = report.get("util"), e.granted, meant.get("share_of_disks_busy")
@@ -501,6 +500,7 @@
         self.planned.append(("submit", q.id, e.id, max(1, within)))
         sub = Submission(e.id, self.now, q.cost * q.group.scale, max(GRAIN, self.alone(q)))
         q.legs.append(sub)
+        self.work, self.span = self.work + sub.work, self.span + sub.alone
         self.recent.append((self.now, sub))
         q.place = "out"
         e.out += 1
