--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -61,7 +61,7 @@
 class Teamwork:
     def __init__(self, seed, catalog, now):
         self.seed, self.catalog, self.now = seed, catalog, now
-        self.drawn = 0
+        self.drawn, self.wake_at = 0, None
         self.groups = [ResourceGroup.read(catalog, n) for n in range(catalog.get("groups.count", 0))]
         self.routers = max(1, catalog.get("n_instances", 1))
         self.margin = MARGIN + 2 * catalog.get("tick", 0)
@@ -75,11 +75,11 @@
         self.looks = []  # heap of (time, order, query id): look at this query again
         self.taken, self.extras = deque(), deque()
         self.probe_credit = len(self.groups)
+        self.price = 0.0  # mean work for a value of one, as asked
         self.work = self.span = 0.0  # core time of all submissions, and their time alone
         self.held, self.mine = None, 0.0  # mean threads: a core's as reported, our own on an engine then
         self.recent = deque()  # (time, submission) of late
         self.counted = "inflight" in catalog.get("report.columns", ())  # whether reports count queries held
-        self.wake_at = None
         self.watch = catalog.get("discovery") == "on_request"
         self.planned = deque()
 
@@ -116,6 +116,7 @@
         g.usual += SMOOTH * (cost - g.usual) if g.usual else cost
         q = self.queries[query] = Query(query, g, now, due, tables, tenant, cost, memory, key)
         self.taken.append((now, tenant))
+        self.price = (1 - SMOOTH) * (self.price or cost / g.value) + SMOOTH * cost / g.value
         self.probe_credit = min(self.probe_credit + 1 / QUERIES_A_PROBE, len(self.engines))
         self.look(q, due - self.margin)
         if g.in_order and key is not None:
@@ -357,7 +358,7 @@
         return ratios[len(ratios) // 2] if len(ratios) >= LEAST_SAMPLES else 1.0
 
     def too_heavy(self, q):
-        """Overload: the more crowded the engines, the lighter for its group a query must be to be let in.
+        """Overload: the more crowded the engines, the lighter a query must be, for its group and its value.
 
         Guards against a jam of all engines, in which no router's own queue grows. Covers whatever makes the
         work too much: bursts, lost engines, slowdowns, retries. Does harm where estimates are worthless.
@@ -366,7 +367,8 @@
         pace = self.pace() / (2 if self.counted else 1)
         pressure = max(pace, self.held or 0, BACKLOG * self.waited(self.queue[0]) if self.queue else 0)
         pressure *= OVER if self.over_share(q.tenant) else 1
-        return q.cost > q.group.usual * HEAVY * (EASE / pressure) ** STEEP
+        heavy = q.cost / (q.group.usual * q.group.value * self.price) ** 0.5
+        return heavy > HEAVY * (EASE / pressure) ** STEEP
 
     def waited(self, q):
         """The share of its slack that a query has waited."""
@@ -376,8 +378,7 @@
         """Is the customer well over its share of late, by fraction and by rate?"""
         span, n = max(SECOND, self.now - self.taken[0][0]), sum(t == tenant for _, t in self.taken)
         fraction, rate = (self.catalog.get(f"parties.{tenant}.{x}") for x in ("fraction", "quota_per_s"))
-        many = rate and n > OVER * fraction * len(self.taken)
-        return many and n * self.routers * SECOND > rate * span
+        return rate and n * self.routers * SECOND > rate * span and n > OVER * fraction * len(self.taken)
 
     def latest_start(self, q):
         """The last moment at which a start still makes the target runtime."""
--- a/tests/test_teamwork.py
+++ b/tests/test_teamwork.py
@@ -83,7 +83,8 @@
 
 
 def test_queries_held_count_as_the_mean_width_of_the_work(desk):
-    desk.take(LOOKUP, cost=1000), desk.take(REPORT, cost=4000)
+    for group, cost in ((LOOKUP, 1000), (REPORT, 4000)):
+        desk.router.submit(desk.take(group, cost=cost), desk.router.engines[2])
     desk.router.read_report(desk.router.engines[1], {"inflight": 4.0})
     assert desk.router.engines[1].reported == 10
 
