--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -30,7 +30,7 @@
 SHARPNESS = 4  # power of the draw's weight: twice the load, a sixteenth of the draws
 REST = 100 * MILLISECOND  # first rest of an engine that failed; doubles with each failure in a row
 LONGEST_REST = 5 * SECOND  # an engine that is back is found at the latest after this
-PATIENCE = 3.0  # times the expected run until a submission is taken as hung or badly planned
+PATIENCE = 2.5  # times the expected run until a submission is taken as hung, badly planned or its answer lost
 TRAFFIC_SPAN = 10 * SECOND  # over which customers' traffic is counted: longer than a short fault
 FADE = 1 * SECOND  # a report's half life: most queries that it counted have ended two or three of them later
 FEW = 4.0  # threads: a few short queries; with less out, a router's part of an engine is mostly chance
@@ -495,8 +495,8 @@
             self.extras.append((self.now,))
         within = q.due - self.margin - self.now
         if self.catalog.get("limits.cancel", False) and q.group.effect == "read-only":
-            # Guards against a hung member and a bad plan where a time-out frees the engine.
-            within = min(within, int(max(q.group.target, PATIENCE * self.expected(q))))
+            # Guards against a hung member, a bad plan and a lost answer where a time-out frees the engine.
+            within = min(within, int(max(q.group.target / 2, PATIENCE * self.expected(q))))
         self.set_terms(q)
         self.planned.append(("submit", q.id, e.id, max(1, within)))
         sub = Submission(e.id, self.now, q.cost * q.group.scale, max(GRAIN, self.alone(q)))
