--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -50,7 +50,7 @@
             repeats=own("repeats_dropped_by", "cell"),
             window=own("window", 0),
             width=per_group("domain.width_by_group", 1),
-            value=own("value", 1.0),
+            value=own("value", 1.0) or 1.0,
             is_load=per_group("domain.group_load", False),
             waits=per_group("domain.yields_to_loads", False),
             in_order=own("keep_order", False),
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -39,13 +39,11 @@
 OVER = 1.25  # times a customer's fraction of the traffic: beyond chance; it feels the pressure so much more
 CROWD = 1.5  # times the bound: with so many threads a core a dashboard would only come too late
 PACE_SPAN = 4 * SECOND  # submissions of late: enough of them at a quiet router, few of a time that has gone
-LEAST_SAMPLES = 3  # submissions: the fewest whose median is not one chance
 GRAIN = 20 * MILLISECOND  # shorter times are mostly the network's and the clock's
 FULL = 10.0  # times alone that a refusal as full counts as: more than any target leaves room for
-HEAVY = 4.0  # times its group's mean work: a query so heavy is not let in at the pressure EASE
-BACKLOG = 3.0  # pressure when the queue's head has waited all its slack; EASE at half of it
-EASE = 1.5  # times alone, or threads a core: about where engines get less done in all
-STEEP = 3  # at twice the pressure a quarter of the weight, at four times a sixteenth: the lightest few
+EASE = 2.4  # times alone, or threads a core, at which all heavier than the mean are kept out: past every knee
+BACKLOG = 3.0  # pressure when the queue's head has waited all its slack: few start then in time
+STEEP = 3  # at half that pressure eight times the mean still gets in, at twice an eighth of it
 
 NEVER_RAN = ("saturated", "refused_conn", "superseded")  # endings that prove it
 MAY_STILL_RUN = ("overdue", "severed", "recalled")  # endings after which a key rests
@@ -112,7 +110,7 @@
         for line in (self.taken, self.extras):
             trim(line, now - max(TRAFFIC_SPAN, self.catalog.get("guarantees.look_back") or 0) - 2)
         g = self.groups[group]
-        cost = cost or g.usual or g.target * g.width // 2
+        cost = max(1, cost or g.usual or g.target * g.width // 2)
         g.usual += SMOOTH * (cost - g.usual) if g.usual else cost
         q = self.queries[query] = Query(query, g, now, due, tables, tenant, cost, memory, key)
         self.taken.append((now, tenant))
@@ -304,9 +302,8 @@
     def crowd(self, e):
         """Threads of all routers on the engine: as reported, or by what this router has out there.
 
-        Guards against an engine that stalls between two reports: what is out grows at once. Where reports
-        count queries held, this router's part of them is known; else all routers count as alike. With few
-        threads out a part is mostly chance, and the others count for less.
+        Guards against an engine that stalls between two reports: what is out grows at once. The others count
+        by this router's part where reports tell it, else as alike; for less where the part is mostly chance.
         """
         part = self.held * e.cores / self.mine if self.counted and self.mine else self.routers
         others = (min(self.routers, part) - 1) * (self.mine / (self.mine + FEW) if self.mine else 1)
@@ -322,10 +319,9 @@
         least = 1
         if self.now < e.pressed_until:
             share = bound / self.routers
-            free = min(free, max(width, share) - e.threads)
             # Guards against many routers whose bound is under one query: each then has one by chance only.
             least = int(crc32(f"{q.id}:{e.id}".encode()) / 2**32 < share / width)
-            free = free if share >= width or least else 0
+            free = min(free, max(width, share) - e.threads) * least
         slots = int(free // width)
         if q.memory and e.ram:
             given = 0 if e.granted is None else e.granted * e.ram + self.since(e)[1]
@@ -349,13 +345,13 @@
     def pace(self):
         """How many times its time alone a query takes now: the median of the submissions of late.
 
-        One that is out counts as soon as it is older than its time alone, so that a jam shows before its
-        first answer. A median: lost answers, bad plans and loads in the way are the fewer.
+        One that is out counts once it is older than that, so that a jam shows before its first answer. Lost
+        answers, bad plans and loads in the way are the fewer.
         """
         trim(self.recent, self.now - PACE_SPAN)
-        ratios = [sub.ratio or (self.now - sub.sent) / sub.alone for _, sub in self.recent]
-        ratios = sorted(r for (_, sub), r in zip(self.recent, ratios) if sub.ratio or (sub.open and r > 1))
-        return ratios[len(ratios) // 2] if len(ratios) >= LEAST_SAMPLES else 1.0
+        aged = ((s, s.ratio or s.open * (self.now - s.sent) / s.alone) for _, s in self.recent)
+        ratios = sorted(r for s, r in aged if s.ratio or r > 1)
+        return ratios[len(ratios) // 2] if len(ratios) >= 3 else 1.0  # fewer are mostly chance
 
     def too_heavy(self, q):
         """Overload: the more crowded the engines, the lighter a query must be, for its group and its value.
@@ -368,7 +364,7 @@
         pressure = max(pace, self.held or 0, BACKLOG * self.waited(self.queue[0]) if self.queue else 0)
         pressure *= OVER if self.over_share(q.tenant) else 1
         heavy = q.cost / (q.group.usual * q.group.value * self.price) ** 0.5
-        return heavy > HEAVY * (EASE / pressure) ** STEEP
+        return heavy > (EASE / pressure) ** STEEP
 
     def waited(self, q):
         """The share of its slack that a query has waited."""
@@ -526,12 +522,11 @@
         if self.catalog.get("report.via") != "probe" or not self.catalog.get("limits.probes", False):
             return
         ready = [e for e in self.engines.values() if e.ready and self.now >= e.rest_until]
-        if self.probe_credit >= 1 and ready:
-            e = min(ready, key=lambda e: e.probed_at)
-            if self.now - e.probed_at >= PROBE_EVERY:
-                e.probed_at = self.now
-                self.probe_credit -= 1
-                self.planned.append(("probe", e.id))
+        e = min(ready, key=lambda e: e.probed_at, default=None)
+        if e and self.probe_credit >= 1 and self.now - e.probed_at >= PROBE_EVERY:
+            e.probed_at = self.now
+            self.probe_credit -= 1
+            self.planned.append(("probe", e.id))
 
     def set_alarm(self):
         """One alarm: the next query to look at, or a sweep while something is held."""
