--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -31,6 +31,7 @@
 REST = 100 * MILLISECOND  # first rest of an engine that failed; doubles with each failure in a row
 LONGEST_REST = 5 * SECOND  # an engine that is back is found at the latest after this
 PATIENCE = 2.5  # times the expected run until a submission is taken as hung, badly planned or its answer lost
+LINE_PATIENCE = 6.0  # the same where engines queue for memory: a wait holds nothing, a cut loses the place
 TRAFFIC_SPAN = 10 * SECOND  # over which customers' traffic is counted: longer than a short fault
 FADE = 1 * SECOND  # a report's half life: most queries that it counted have ended two or three of them later
 FEW = 4.0  # threads: a few short queries; with less out, a router's part of an engine is mostly chance
@@ -492,7 +493,8 @@
         within = q.due - self.margin - self.now
         if self.catalog.get("limits.cancel", False) and q.group.effect == "read-only":
             # Guards against a hung member, a bad plan and a lost answer where a time-out frees the engine.
-            within = min(within, int(max(q.group.target / 2, PATIENCE * self.expected(q))))
+            patience = LINE_PATIENCE if self.catalog.get("domain.on_shortage") == "line_up" else PATIENCE
+            within = min(within, int(max(q.group.target / 2, patience * self.expected(q))))
         self.set_terms(q)
         self.planned.append(("submit", q.id, e.id, max(1, within)))
         sub = Submission(e.id, self.now, q.cost * q.group.scale, max(GRAIN, self.alone(q)))
--- a/tests/test_teamwork.py
+++ b/tests/test_teamwork.py
@@ -1,7 +1,7 @@
 """The design's ordinary path and the answers to failures found."""
 
 import pytest
-from conftest import LOAD, LOOKUP, REPORT
+from conftest import LOAD, LOOKUP, REPORT, WRITE
 
 from hillchute.decision.teamwork import SECOND
 
@@ -181,3 +181,19 @@
     assert e.pressed_until > SECOND
     desk.router.read_report(e, {"util": 0.5})
     assert e.pressed_until == 0
+
+
+def test_patience_is_longer_where_a_submission_may_stand_in_line_for_memory(make_desk):
+    waits = []
+    for shortage in ("cut", "line_up"):
+        desk = make_desk(limits__cancel=True, domain__on_shortage=shortage)
+        desk.router.submit(desk.take(REPORT, cost=8 * SECOND, due=60 * SECOND), desk.router.engines[1])
+        waits.append(desk.router.planned[-1][3])
+    assert waits == [5 * SECOND, 12 * SECOND]
+
+
+def test_query_heavy_for_its_value_is_kept_out_before_one_heavy_for_its_group_alone(desk):
+    desk.router.price, desk.router.held = 100.0, 1.5
+    report, load = desk.take(REPORT, cost=100), desk.take(WRITE, cost=100)
+    report.cost = load.cost = 600
+    assert [desk.router.too_heavy(q) for q in (report, load)] == [False, True]
