--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -40,6 +40,7 @@
 OVER = 1.25  # times a customer's fraction of the traffic: beyond chance; it feels the pressure so much more
 CROWD = 1.5  # times the bound: with so many threads a core a dashboard would only come too late
 PACE_SPAN = 4 * SECOND  # submissions of late: enough of them at a quiet router, few of a time that has gone
+CALM = 4  # submissions at their time alone, counted with the few of a quiet router before it gives up on a query
 GRAIN = 20 * MILLISECOND  # shorter times are mostly the network's and the clock's
 FULL = 10.0  # times alone that a refusal as full counts as: more than any target leaves room for
 EASE = 2.4  # times alone, or threads a core, at which all heavier than the mean are kept out: past every knee
@@ -341,9 +342,9 @@
         return q.cost * q.group.scale / q.group.width
 
     def expected(self, q):
-        return int(self.alone(q) * max(1.0, self.pace()))
+        return int(self.alone(q) * max(1.0, self.pace(CALM)))
 
-    def pace(self):
+    def pace(self, calm=0):
         """How many times its time alone a query takes now: the median of the submissions of late.
 
         One that is out counts once it is older than that, so that a jam shows before its first answer. Lost
@@ -351,7 +352,7 @@
         """
         trim(self.recent, self.now - PACE_SPAN)
         aged = ((s, s.ratio or s.open * (self.now - s.sent) / s.alone) for _, s in self.recent)
-        ratios = sorted(r for s, r in aged if s.ratio or r > 1)
+        ratios = sorted([*[1.0] * calm, *(r for s, r in aged if s.ratio or r > 1)])
         return ratios[len(ratios) // 2] if len(ratios) >= 3 else 1.0  # fewer are mostly chance
 
     def too_heavy(self, q):
--- a/tests/test_teamwork.py
+++ b/tests/test_teamwork.py
@@ -197,3 +197,12 @@
     report, load = desk.take(REPORT, cost=100), desk.take(WRITE, cost=100)
     report.cost = load.cost = 600
     assert [desk.router.too_heavy(q) for q in (report, load)] == [False, True]
+
+
+def test_few_slow_submissions_at_a_quiet_router_do_not_give_up_a_query(desk):
+    for _ in range(3):
+        desk.router.recent.append((0, desk.tried(LOOKUP).legs[0]))
+    desk.router.now = SECOND
+    q = desk.take(REPORT, now=SECOND, cost=8000)
+    assert desk.router.pace() == 10
+    assert desk.router.latest_start(q) > SECOND
