--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -390,7 +390,8 @@
             if self.watch:
                 self.watch = False
                 return ("watch",)
-            stages = (self.settle, self.lanes_move, self.send_dashboards, self.send_team, self.probe)
+            # Lanes first: one whose turn comes too late is then answered, not sent, and the next may start.
+            stages = (self.lanes_move, self.settle, self.send_dashboards, self.send_team, self.probe)
             for stage in (*stages, self.set_alarm):
                 stage()
                 if self.planned:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -132,3 +132,13 @@
     assert desk.router.allowed(desk.router.engines[2], q)
     desk.router.extras.extend([(0,)] * 10)
     assert not desk.router.allowed(desk.router.engines[2], q)
+
+
+def test_query_whose_turn_comes_too_late_is_answered_and_the_next_one_starts(desk):
+    first, late = desk.take(LOAD, key="k", due=60 * SECOND), desk.take(LOAD, key="k", due=60 * SECOND)
+    desk.verbs()
+    fresh = desk.take(LOAD, key="k", now=40 * SECOND, due=60 * SECOND)
+    desk.router.outcome(40 * SECOND, first.id, 0, "finished", True, 40 * SECOND)
+    said = desk.verbs(40 * SECOND)
+    assert [d[1] for d in said if d[0] in ("defer", "kill")] == [late.id]
+    assert [d[1] for d in said if d[0] == "submit"] == [fresh.id]
