--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -66,7 +66,6 @@
     work: float
     alone: float  # the time that it would take alone
     open: bool = True
-    result: str = ""
     ratio: float = 0.0  # time taken over time alone, once known
 
 
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -142,7 +142,7 @@
             return
         sub = q.legs[leg]
         e = self.engines[sub.engine]
-        sub.open, sub.result = False, result
+        sub.open = False
         e.out -= 1
         e.threads -= q.group.width
         e.memory -= q.memory
@@ -311,12 +311,10 @@
         others = (min(self.routers, part) - 1) * (self.mine / (self.mine + FEW) if self.mine else 1)
         return max(self.load(e), e.threads * (1 + max(0.0, others)))
 
-    def room(self, e, q):
+    def room(self, e, q, factor=FACTOR):
         """How many queries like this one the engine has slots and room for."""
         width = q.group.width
-        # Guards against starving: dashboards may fill an engine past its bound, so one that has waited half
-        # of its slack may go as far. Acts in overload only; does harm where the engine is about to page.
-        bound = FACTOR * e.cores * (CROWD if self.waited(q) > 0.5 else 1)
+        bound = factor * e.cores
         free = bound - self.crowd(e)
         least = 1
         if self.now < e.pressed_until:
@@ -474,7 +472,10 @@
         if not self.queue:
             return
         leader = self.queue[0]
-        engines = [e for e in self.engines_for(leader) if self.room(e, leader)]
+        # Guards against starving: dashboards may fill an engine past its bound, so one that has waited half
+        # of its slack may go as far. Acts in overload only; does harm where the engine is about to page.
+        factor = FACTOR * (CROWD if self.waited(leader) > 0.5 else 1)
+        engines = [e for e in self.engines_for(leader) if self.room(e, leader, factor)]
         if not engines:
             return  # the leader waits for the next outcome
         home = self.engines.get(self.home.get(leader.tables))
@@ -482,7 +483,7 @@
         team = [leader]
         if not leader.group.is_load:
             mates = (q for q in self.queue if q.tables == leader.tables and not q.group.is_load)
-            slots = self.room(e, leader)
+            slots = self.room(e, leader, factor)
             team += [q for q in mates if q is not leader and e in self.engines_for(q)][: slots - 1]
         for q in team:
             if q is leader or self.allowed(e, q):
