--- a/hillchute/benchlink/codec.py
+++ b/hillchute/benchlink/codec.py
@@ -4,38 +4,16 @@
 so that nothing waits too short and nothing is answered late.
 """
 
+from hillchute.catalog import NS, translate, up
 from hillchute.decision.interface import Decision, Listing
 
-NS = 100_000  # nanoseconds in a tenth of a millisecond
-
-# The wire's words for settings and endings, in ours.
-SETTING_WORDS = {
-    "classes": "groups",
-    "goal_time": "target_runtime",
-    "aim_stretch": "target_stretch",
-    "worth": "value",
-    "semantics": "effect",
-    "group": "repeats_dropped_by",
-    "deadline": "queue_timeout",
-    "class_load": "group_load",
-    "width_by_class": "width_by_group",
-}
-EFFECTS = {"repeatable": "read-only", "by_key": "tokened", "once": "mutating"}
-RESULTS = {"completed": "finished"}
+RESULTS = {"completed": "finished"}  # the wire's endings in our words
 
 
 class Malformed(Exception):
     """A line that is not what the wire page says."""
 
 
-def up(ns: int) -> int:
-    return -(-ns // NS)
-
-
-def down(ns: int) -> int:
-    return ns // NS
-
-
 class Fields:
     """The values of one line, read in order."""
 
@@ -100,19 +78,13 @@
         return Listing(engine, kind, cell, zone, started, state, nominal)
 
     def catalog(self) -> dict[str, object]:
-        settings = {}
+        pairs = []
         for pair in self.values[self.at :]:
             path, sign, value = pair.partition("=")
             if not sign:
                 raise self.fault(f"setting without a value: {path[:40]}")
-            name, read = path, plain(value)
-            if path.endswith("_ns") and isinstance(read, int):
-                name, read = path[:-3], up(read)
-            parts = [SETTING_WORDS.get(part, part) for part in name.split(".")]
-            if parts[-1] == "effect":
-                read = EFFECTS.get(value, value)
-            settings[".".join(parts)] = read
-        return settings
+            pairs.append((path, plain(value)))
+        return translate(pairs)
 
 
 def plain(value: str) -> object:
--- a/hillchute/benchlink/host.py
+++ b/hillchute/benchlink/host.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterable
 from typing import TextIO
 
-from hillchute.benchlink.codec import RESULTS, Fields, Malformed, down, encode, up
+from hillchute.benchlink.codec import RESULTS, Fields, Malformed, encode
+from hillchute.catalog import down, up
 from hillchute.decision.interface import Router
 from hillchute.decision.teamwork import Teamwork
 
--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -105,6 +105,8 @@
     out: int = 0
     holds: list = field(default_factory=list)  # table groups of this router's loads running there
     sent: deque = field(default_factory=deque)  # (time, threads) not yet in a report
+    fresh: int = 0  # threads in sent
+    fresh_memory: float = 0.0
     cold: deque = field(default_factory=deque)  # (time, usual work) sent while cold
     reported: float | None = None  # threads in use at the last report
     granted: float | None = None  # share of its memory granted at the last report
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -7,7 +7,7 @@
 """
 
 from bisect import bisect
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from heapq import heappop, heappush
 from itertools import accumulate
 from zlib import crc32
@@ -40,6 +40,7 @@
 OVER = 1.25  # times a customer's fraction of the traffic: beyond chance; it feels the pressure so much more
 CROWD = 1.5  # times the bound: with so many threads a core a dashboard would only come too late
 PACE_SPAN = 4 * SECOND  # submissions of late: enough of them at a quiet router, few of a time that has gone
+SAMPLE = 2_000  # queries of TRAFFIC_SPAN up to which each submission counts in the pace; beyond, one in some
 CALM = 4  # submissions at their time alone, counted with a quiet router's few before it gives up on a query
 GRAIN = 20 * MILLISECOND  # shorter times are mostly the network's and the clock's
 FULL = 10.0  # times alone that a refusal as full counts as: more than any target leaves room for
@@ -69,11 +70,13 @@
         self.dashboards = {g.number for g in self.groups if g.target == shortest and not g.is_load}
         self.queries: dict[str, Query] = {}
         self.engines: dict[int, Engine] = {}
-        self.lanes = defaultdict(Lane)
+        self.lanes, self.stirred = defaultdict(Lane), {}  # and the keys whose lanes may have moved
         self.queue, self.dash = deque(), deque()  # waiting: teams to be, and dashboards with no engine
         self.home = {}  # table group: the engine that last ran it
         self.looks = []  # heap of (time, order, query id): look at this query again
-        self.taken, self.extras = deque(), deque()
+        self.taken, self.extras, self.planned = deque(), deque(), deque()
+        self.traffic = Counter()  # of taken, by customer
+        self.paces, self.paced_at = {}, 0
         self.probe_credit = len(self.groups)
         self.price = 0.0  # mean work for a value of one, as asked
         self.work = self.span = 0.0  # core time of all submissions, and their time alone
@@ -81,7 +84,6 @@
         self.recent = deque()  # (time, submission) of late
         self.counted = "inflight" in catalog.get("report.columns", ())  # whether reports count queries held
         self.watch = catalog.get("discovery") == "on_request"
-        self.planned = deque()
 
     # ---- what has happened: bookkeeping only -------------------------------------------------------
 
@@ -109,19 +111,23 @@
 
     def take(self, now, query, group, due, tables=None, tenant=0, cost=None, memory=0.0, key=None):
         self.now = now
-        for line in (self.taken, self.extras):
-            trim(line, now - max(TRAFFIC_SPAN, self.catalog.get("guarantees.look_back") or 0) - 2)
+        start = now - max(TRAFFIC_SPAN, self.catalog.get("guarantees.look_back") or 0) - 2
+        trim(self.extras, start)
+        while self.taken and self.taken[0][0] < start:
+            self.traffic[self.taken.popleft()[1]] -= 1
         g = self.groups[group]
         cost = max(1, cost or g.usual or g.target * g.width // 2)
         g.usual += SMOOTH * (cost - g.usual) if g.usual else cost
         q = self.queries[query] = Query(query, g, now, due, tables, tenant, cost, memory, key)
         self.taken.append((now, tenant))
+        self.traffic[tenant] += 1
         self.price = (1 - SMOOTH) * (self.price or cost / g.value) + SMOOTH * cost / g.value
         self.probe_credit = min(self.probe_credit + 1 / QUERIES_A_PROBE, len(self.engines))
         self.look(q, due - self.margin)
         if g.in_order and key is not None:
             q.place = "lane"
             self.lanes[key].turn.append(q)
+            self.stirred[key] = True
         else:
             self.line_up(q)
 
@@ -143,8 +149,7 @@
         sub = q.legs[leg]
         e = self.engines[sub.engine]
         sub.open = False
-        e.out -= 1
-        e.threads -= q.group.width
+        e.out, e.threads = e.out - 1, e.threads - q.group.width
         e.memory -= q.memory
         if q.group.is_load:
             e.holds.remove(q.tables)
@@ -202,9 +207,8 @@
 
     def probed(self, now, engine, result, report):
         self.now = now
-        e = self.engines.get(engine)
-        if e is not None and report:
-            self.read_report(e, report)
+        if report and engine in self.engines:
+            self.read_report(self.engines[engine], report)
 
     def progress(self, now, query, leg, topic, figure):
         self.now = now  # notes tell of one submission, what is out tells of the engine sooner
@@ -219,9 +223,14 @@
         if query in self.queries:
             self.end(self.queries[query])
 
-    def woken(self, now, name):
+    def closing(self, now, end):
         self.now = now
-        self.wake_at = None
+        for q in self.queries.values():
+            q.due = min(q.due, end)
+            self.look(q, q.due - self.margin)
+
+    def woken(self, now, name):
+        self.now, self.wake_at = now, None
 
     def end(self, q):
         """The query is answered; it is kept while a submission is out, since its key waits for that."""
@@ -230,6 +239,8 @@
         q.place = "ended"
         if not q.out:
             self.queries.pop(q.id, None)
+        if q.key in self.lanes:
+            self.stirred[q.key] = True
 
     # ---- the rules ----------------------------------------------------------------------------------
 
@@ -287,8 +298,10 @@
     # ---- the engines --------------------------------------------------------------------------------
 
     def since(self, e):
-        trim(e.sent, max(e.reported_at - LAG, self.now - PRESSED))
-        return sum(t for _, t, _ in e.sent), sum(mb for _, _, mb in e.sent)  # threads, memory
+        while e.sent and e.sent[0][0] < max(e.reported_at - LAG, self.now - PRESSED):
+            _, threads, memory = e.sent.popleft()
+            e.fresh, e.fresh_memory = e.fresh - threads, e.fresh_memory - memory
+        return e.fresh, e.fresh_memory
 
     def load(self, e):
         """Threads on the engine: as reported plus this router's since; unheard, the average of the reports.
@@ -330,8 +343,7 @@
 
     def draw(self, engines, q):
         """Chance, weighted against load."""
-        weights = [(FLOOR + self.load(e) / e.cores) ** -SHARPNESS for e in engines]
-        marks = list(accumulate(weights))
+        marks = list(accumulate((FLOOR + self.load(e) / e.cores) ** -SHARPNESS for e in engines))
         self.drawn += 1
         chance = crc32(f"{self.seed}:{self.drawn}".encode()) / 2**32
         return engines[bisect(marks, chance * marks[-1])]
@@ -348,10 +360,15 @@
         One that is out counts once it is older than that, so that a jam shows before its first answer. Lost
         answers, bad plans and loads in the way are the fewer.
         """
-        trim(self.recent, self.now - PACE_SPAN)
-        aged = ((s, s.ratio or s.open * (self.now - s.sent) / s.alone) for _, s in self.recent)
-        ratios = sorted([*[1.0] * calm, *(r for s, r in aged if s.ratio or r > 1)])
-        return ratios[len(ratios) // 2] if len(ratios) >= 3 else 1.0  # fewer are mostly chance
+        if not self.paces or self.now - self.paced_at >= SWEEP:
+            self.paced_at = self.now
+            trim(self.recent, self.now - PACE_SPAN)
+            aged = ((s, s.ratio or s.open * (self.now - s.sent) / s.alone) for _, s in self.recent)
+            ratios = [r for s, r in aged if s.ratio or r > 1]
+            for n in (0, CALM):
+                line = sorted([1.0] * n + ratios)  # fewer than three are mostly chance
+                self.paces[n] = line[len(line) // 2] if len(line) >= 3 else 1.0
+        return self.paces[calm]
 
     def too_heavy(self, q):
         """Overload: the more crowded the engines, the lighter a query must be, for its group and its value.
@@ -372,8 +389,8 @@
 
     def over_share(self, tenant):
         """Is the customer well over its share of late, by fraction and by rate?"""
-        span, n = max(SECOND, self.now - self.taken[0][0]), sum(t == tenant for _, t in self.taken)
         fraction, rate = (self.catalog.get(f"parties.{tenant}.{x}") for x in ("fraction", "quota_per_s"))
+        span, n = max(SECOND, self.now - self.taken[0][0]), self.traffic[tenant]
         return rate and n * self.routers * SECOND > rate * span and n > OVER * fraction * len(self.taken)
 
     def latest_start(self, q):
@@ -424,8 +441,10 @@
 
     def lanes_move(self):
         """Rule 5: the next query of a key lines up when all earlier ones are over and the key has rested."""
-        for key in list(self.lanes):
+        for key in list(self.stirred):
             lane = self.lanes[key]
+            if self.now >= lane.rest_until:
+                del self.stirred[key]
             while lane.turn and lane.turn[0].place == "ended" and not lane.turn[0].out:
                 lane.turn.popleft()
             if not lane.turn:
@@ -503,12 +522,13 @@
         sub = Submission(e.id, self.now, q.cost * q.group.scale, max(GRAIN, self.alone(q)))
         q.legs.append(sub)
         self.work, self.span = self.work + sub.work, self.span + sub.alone
-        self.recent.append((self.now, sub))
+        if crc32(q.id.encode()) % (1 + len(self.taken) // SAMPLE) == 0:
+            self.recent.append((self.now, sub))
         q.place = "out"
-        e.out += 1
-        e.threads += q.group.width
+        e.out, e.threads = e.out + 1, e.threads + q.group.width
         e.memory += q.memory
         e.sent.append((self.now, q.group.width, q.memory))
+        e.fresh, e.fresh_memory = e.fresh + q.group.width, e.fresh_memory + q.memory
         e.cold.append((self.now, self.usual_work(q.group)))
         self.home[q.tables] = e.id
         if q.group.is_load:
--- /dev/null
+++ b/hillchute/router/config.py
@@ -0,0 +1,145 @@
+"""The one place where configuration is read, checked and given defaults.
+
+Owns the environment variables, the file that they name and the checks on both; a fault names its key by the full
+path. Must never hold a value that decides anything about a query: those are the module's, or come from the file.
+"""
+
+import os
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import orjson
+
+from hillchute.catalog import flatten, translate
+from hillchute.router import event_bus
+
+SECOND = 10_000  # tenths of a millisecond
+CLOSING = 3 * SECOND  # the protocol: a planned restart leaves the longest deadline, but no more than this
+SOCKETS, MEMORY_MB = 1024, 192  # where the file states no limits: the least that any deployment gives
+
+
+class BadConfiguration(Exception):
+    """What is wrong, with the key's full path."""
+
+
+class Station(NamedTuple):
+    """What this router is told at its start."""
+
+    name: str
+    host: str
+    port: int
+    seed: int
+    sockets: int
+    bus: tuple[str, int]
+    offset: int
+    known: tuple[event_bus.News, ...]
+    catalog: dict[str, object]
+    closing: int  # how long after a planned end all must be answered
+
+
+def bad(path: str, what: str) -> BadConfiguration:
+    return BadConfiguration(f"{path}: {what}")
+
+
+def get(table: Mapping[str, object], path: str, kind: type | tuple[type, ...], default: object = None):
+    """The value at a dotted path, checked for its kind; a default of None makes the key a must."""
+    value: object = table
+    for n, part in enumerate(path.split(".")):
+        if not isinstance(value, Mapping):
+            raise bad(".".join(path.split(".")[:n]), "not an object")
+        value = value.get(part)
+    if value is None:
+        if default is None:
+            raise bad(path, "missing")
+        return default
+    if not isinstance(value, kind) or isinstance(value, bool) and kind is not bool:
+        names = kind.__name__ if isinstance(kind, type) else " or ".join(k.__name__ for k in kind)
+        raise bad(path, f"expected {names}, got {str(value)[:40]!r}")
+    return value
+
+
+def address(text: str, path: str) -> tuple[str, int]:
+    host, sign, port = text.rpartition(":")
+    if not sign or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise bad(path, f"not an address of the form host:port: {text[:60]!r}")
+    return host.strip("[]"), int(port)
+
+
+def read(environ: Mapping[str, str] = os.environ) -> Station:
+    path = environ.get("EDGE_CONFIG")
+    if not path:
+        raise bad("EDGE_CONFIG", "missing: it names the configuration file")
+    try:
+        with open(path, "rb") as file:
+            table = orjson.loads(file.read())
+    except OSError as fault:
+        raise bad("EDGE_CONFIG", f"{path}: {fault.strerror}") from None
+    except orjson.JSONDecodeError as fault:
+        raise bad("EDGE_CONFIG", f"{path}: not JSON: {fault}") from None
+    if not isinstance(table, dict):
+        raise bad("EDGE_CONFIG", f"{path}: not a JSON object")
+    return station(table, environ)
+
+
+def station(table: Mapping[str, object], environ: Mapping[str, str]) -> Station:
+    listen = environ.get("EDGE_LISTEN")
+    host, port = address(listen, "EDGE_LISTEN") if listen else address(get(table, "listen", str), "listen")
+    sockets = get(table, "limits.sockets", int, SOCKETS)
+    if sockets < 64:
+        raise bad("limits.sockets", f"{sockets} are too few to serve with")
+    catalog = settings(table)
+    seed = get(table, "seed", (str, int))
+    try:
+        seed = int(seed, 16) if isinstance(seed, str) else seed
+    except ValueError:
+        raise bad("seed", f"not a hexadecimal number: {seed[:40]!r}") from None
+    offset, known = events(table)
+    longest = max(catalog.get(f"groups.{n}.queue_timeout", 0) for n in range(catalog["groups.count"]))
+    return Station(
+        name=environ.get("EDGE_NAME") or get(table, "name", str),
+        host=host,
+        port=port,
+        seed=seed,
+        sockets=sockets,
+        bus=address(get(table, "bus", str), "bus"),
+        offset=offset,
+        known=known,
+        catalog=catalog,
+        closing=min(longest, CLOSING),
+    )
+
+
+def settings(table: Mapping[str, object]) -> dict[str, object]:
+    """The settings, checked as far as the router itself leans on them; absent ones take the module's defaults."""
+    nested = get(table, "settings", dict)
+    classes = get(nested, "classes", list)
+    if not classes:
+        raise bad("settings.classes", "empty")
+    for n, item in enumerate(classes):
+        here = f"settings.classes[{n}]"
+        if not isinstance(item, dict):
+            raise bad(here, "not an object")
+        for name, kind in (("name", str), ("goal_time_ns", int), ("deadline_ns", int), ("semantics", str)):
+            try:
+                get(item, name, kind)
+            except BadConfiguration as fault:
+                raise BadConfiguration(f"{here}.{fault}") from None
+        if item["semantics"] not in ("repeatable", "by_key", "once"):
+            raise bad(f"{here}.semantics", f"unknown: {item['semantics'][:40]!r}")
+    for path in ("limits.connect_timeout_ns", "limits.keepalive_ns"):
+        if get(table, f"settings.{path}", int) <= 0:
+            raise bad(f"settings.{path}", "not above 0")
+    if get(table, "settings.limits.streams_per_conn", int, 1) < 1:
+        raise bad("settings.limits.streams_per_conn", "not above 0")
+    return translate(flatten(nested))
+
+
+def events(table: Mapping[str, object]) -> tuple[int, tuple[event_bus.News, ...]]:
+    offset = get(table, "known.offset", int)
+    get(table, "known.batch", list)
+    zones = get(table, "settings.dcs", list, [])
+    kinds = get(table, "settings.kinds", list, [])
+    try:
+        return offset, tuple(event_bus.from_json(table["known"], zones, kinds))
+    except (KeyError, TypeError, ValueError, AttributeError) as fault:
+        raise bad("known.batch", f"{type(fault).__name__}: {fault}") from None
--- /dev/null
+++ b/hillchute/router/reducer.py
@@ -0,0 +1,625 @@
+"""All state of one router, and the only place that changes it: reduce(event, now) gives the effects it asks for.
+
+Owns the open queries, the submissions and the connections to sql engines as far as they matter to them; drives the
+decision module. Must never read or write, look at a clock, or decide what the module decides: what runs where and
+when, what is deferred or killed, how long a submission may take. Times are whole tenths of a millisecond.
+"""
+
+import traceback
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from typing import NamedTuple
+
+from hillchute.decision.interface import Router, Time
+from hillchute.router import engine_wire as wire
+from hillchute.router import event_bus
+from hillchute.router.statement import Request
+
+# ---- events ---------------------------------------------------------------------------------------
+
+
+class Asked(NamedTuple):
+    """A client's query has come whole."""
+
+    session: int
+    request: Request
+
+
+class Left(NamedTuple):
+    """The client of a session gave its query up, or is gone."""
+
+    session: int
+
+
+class Connected(NamedTuple):
+    line: int
+
+
+class NotConnected(NamedTuple):
+    line: int
+
+
+class Said(NamedTuple):
+    line: int
+    answer: wire.Answer
+
+
+class Lost(NamedTuple):
+    """A connection to an engine has ended, in whatever way."""
+
+    line: int
+    why: str
+
+
+class Told(NamedTuple):
+    news: event_bus.News
+
+
+class Tick(NamedTuple):
+    """The time that an Alarm named has come."""
+
+
+class Closing(NamedTuple):
+    """The router ends: by `end` everything must be answered."""
+
+    end: Time
+
+
+Event = Asked | Left | Connected | NotConnected | Said | Lost | Told | Tick | Closing
+
+# ---- effects --------------------------------------------------------------------------------------
+
+
+class Finish(NamedTuple):
+    session: int
+    rows: list[tuple[bytes, ...]]
+
+
+class Defer(NamedTuple):
+    session: int
+    after: Time
+
+
+class Kill(NamedTuple):
+    session: int
+    why: str
+
+
+class Send(NamedTuple):
+    line: int
+    command: wire.Command
+
+
+class Connect(NamedTuple):
+    line: int
+    host: str
+    port: int
+
+
+class HangUp(NamedTuple):
+    line: int
+
+
+class Alarm(NamedTuple):
+    at: Time
+
+
+class Note(NamedTuple):
+    event: str
+    fields: dict[str, object]
+
+
+Effect = Finish | Defer | Kill | Send | Connect | HangUp | Alarm | Note
+
+# ---- state, by how long it lives ------------------------------------------------------------------
+
+
+@dataclass(slots=True, eq=False)
+class Leg:
+    """One submission."""
+
+    query: "Query"
+    number: int
+    engine: int
+    sent: Time
+    until: Time
+    line: "Line | None" = None
+    written: bool = False
+    over: bool = False
+    pages: list[bytes | None] | None = None  # once the engine has answered
+    answer: wire.Answer | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Query:
+    """One query, until it is answered and its last submission is over."""
+
+    request: Request
+    session: int
+    taken: Time
+    due: Time
+    rank: int | None = None
+    legs: list[Leg] = field(default_factory=list)
+    answered: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Line:
+    """One connection to an engine."""
+
+    number: int
+    engine: int
+    opened: Time
+    up: bool = False
+    heard: Time = 0
+    used: Time = 0
+    waiting: deque[Leg] = field(default_factory=deque)  # for the connection to come up
+    probes: dict[str, Time] = field(default_factory=dict)
+    legs: dict[str, Leg] = field(default_factory=dict)
+
+
+@dataclass(slots=True, eq=False)
+class Peer:
+    """One engine, as its last listing says."""
+
+    engine: int
+    host: str
+    port: int
+    ready: bool
+    lines: dict[int, Line] = field(default_factory=dict)
+
+
+class Reducer:
+    def __init__(self, module: Router, catalog: Mapping[str, object], most_lines: int) -> None:
+        self.module = module
+        self.groups = {str(catalog.get(f"groups.{n}.name")): n for n in range(catalog.get("groups.count", 0))}
+        self.streams = catalog.get("limits.streams_per_conn", 1)
+        self.connect_wait: Time = catalog.get("limits.connect_timeout", 0)
+        self.keepalive: Time = catalog.get("limits.keepalive", 0)
+        self.notes_every: Time = catalog.get("domain.tells_every", 0)
+        self.open_cap = catalog.get("limits.open_cap", 0)
+        self.tokened = {n for n in self.groups.values() if catalog.get(f"groups.{n}.effect") == "tokened"}
+        self.ordered = {n for n in self.groups.values() if catalog.get(f"groups.{n}.keep_order")}
+        self.most_lines = most_lines
+        self.now: Time = 0
+        self.end: Time | None = None
+        self.queries: dict[str, Query] = {}
+        self.asking: dict[int, Query] = {}  # by session, while unanswered
+        self.peers: dict[int, Peer] = {}
+        self.lines: dict[int, Line] = {}
+        self.count = 0
+        self.due: list[tuple[Time, int, Callable[[], None]]] = []
+        self.alarm: Time | None = None
+        self.effects: list[Effect] = []
+
+    def reduce(self, event: Event, now: Time) -> list[Effect]:
+        """Takes one event in; the effects that follow from it, in order."""
+        self.now = now
+        self.effects = []
+        match event:
+            case Asked(session, request):
+                self.take(session, request)
+            case Left(session):
+                self.left(session)
+            case Connected(number):
+                self.connected(self.lines.get(number))
+            case NotConnected(number):
+                self.not_connected(self.lines.get(number))
+            case Said(number, answer):
+                self.said(self.lines.get(number), answer)
+            case Lost(number, why):
+                self.lost(self.lines.get(number), why)
+            case Told(news):
+                self.told(news)
+            case Closing(end):
+                self.closing(end)
+        while self.due and self.due[0][0] <= now:
+            heappop(self.due)[2]()
+        self.pull()
+        self.set_alarm()
+        return self.effects
+
+    def pull(self) -> None:
+        """Takes decisions until there is none. A fault there ends this round, not the program."""
+        try:
+            while (decision := self.module.decide(self.now)) is not None:
+                self.carry_out(decision)
+        except Exception:
+            self.note("fault", what="decision", trace=traceback.format_exc(limit=-8))
+
+    def carry_out(self, decision: tuple) -> None:
+        match decision:
+            case ("submit", id, engine, within):
+                self.submit(self.queries[id], engine, within)
+            case ("terms", id, _, rank):
+                self.set_rank(self.queries[id], rank)
+            case ("defer", id, after):
+                self.answer(self.queries[id], Defer(self.queries[id].session, after), "deferred")
+            case ("kill", id):
+                self.answer(self.queries[id], Kill(self.queries[id].session, "killed"), "killed")
+            case ("cancel", id, number):
+                if id in self.queries:
+                    self.leg_over(self.queries[id].legs[number], "recalled", give_up=True)
+            case ("probe", engine):
+                self.probe(engine)
+            case ("wake", at, name):
+                self.at(at, lambda: self.module.woken(self.now, name))
+            case ("watch",):
+                pass  # the event bus is always followed
+
+    def note(self, event: str, **fields: object) -> None:
+        self.effects.append(Note(event, fields))
+
+    def at(self, when: Time, call: Callable[[], None]) -> None:
+        self.count += 1
+        heappush(self.due, (when, self.count, call))
+
+    def set_alarm(self) -> None:
+        first = self.due[0][0] if self.due else None
+        if first is not None and first != self.alarm:
+            self.effects.append(Alarm(first))
+        self.alarm = first
+
+    # ---- queries ----------------------------------------------------------------------------------
+
+    def take(self, session: int, request: Request) -> None:
+        fault = self.misfit(session, request)
+        if fault:
+            self.effects.append(Kill(session, fault))
+            self.note("misread", session=session, why=fault)
+            return
+        if len(self.asking) >= self.open_cap:
+            self.effects.append(Defer(session, 0))
+            return
+        due = self.now + request.patience
+        if self.end is not None:
+            due = min(due, self.end)
+        q = Query(request, session, self.now, due)
+        self.queries[request.id] = self.asking[session] = q
+        group = self.groups[request.group]
+        key = request.key if group in self.ordered else None
+        self.module.take(
+            self.now, request.id, group, due, request.tables, 0, request.cost, request.memory, key
+        )
+        self.at(due, lambda: self.overdue(q))
+
+    def misfit(self, session: int, request: Request) -> str | None:
+        """Why this request can't be a query here."""
+        if request.group not in self.groups:
+            return f"field route names no resource group: {request.group[:40]}"
+        group = self.groups[request.group]
+        if request.id in self.queries:
+            return "field trace has been used before"
+        if session in self.asking:
+            return "a query is open on this session"
+        if group in self.tokened and request.token is None:
+            return "field nonce is absent"
+        if group in self.ordered and request.key is None:
+            return "field entity is absent"
+        return None
+
+    def overdue(self, q: Query) -> None:
+        """Guards rule 1 against a fault in the decisions: whatever happens, the client gets an answer in time."""
+        if not q.answered:
+            self.note("fault", what="unanswered at its end", query=q.request.id)
+            self.module.left(self.now, q.request.id)
+            self.answer(q, Kill(q.session, "no answer in time"), "unanswered")
+
+    def left(self, session: int) -> None:
+        q = self.asking.get(session)
+        if q is not None:
+            self.module.left(self.now, q.request.id)
+            self.answer(q, None, "left")
+
+    def answer(self, q: Query, effect: Effect | None, how: str) -> None:
+        """The one final answer of a query; None where nobody waits for it any more."""
+        if q.answered:
+            return
+        q.answered = True
+        self.asking.pop(q.session, None)
+        if effect is not None:
+            self.effects.append(effect)
+        for leg in q.legs:
+            if leg.pages is not None and not leg.over:  # its pages are wanted no more; the run itself is over
+                self.effects.append(Send(leg.line.number, wire.Shut(q.request.id)))
+                self.leg_over(leg, "finished")
+        self.note(
+            "query",
+            id=q.request.id,
+            group=q.request.group,
+            tables=q.request.tables,
+            how=how,
+            ms=(self.now - q.taken) / 10,
+            patience=q.request.patience / 10,
+            tries=[(event_bus.engine_name(leg.engine), (leg.sent - q.taken) / 10) for leg in q.legs],
+        )
+        self.forget(q)
+
+    def forget(self, q: Query) -> None:
+        if q.answered and all(leg.over for leg in q.legs):
+            self.queries.pop(q.request.id, None)
+
+    def closing(self, end: Time) -> None:
+        self.end = end
+        self.module.closing(self.now, end)
+        for q in list(self.asking.values()):
+            q.due = min(q.due, end)
+            self.at(q.due, lambda q=q: self.overdue(q))
+
+    # ---- submissions ------------------------------------------------------------------------------
+
+    def submit(self, q: Query, engine: int, within: Time) -> None:
+        leg = Leg(q, len(q.legs), engine, self.now, self.now + within)
+        q.legs.append(leg)
+        self.at(leg.until, lambda: self.time_out(leg))
+        line = self.line_for(self.peers[engine], q)
+        if line is None:
+            self.leg_over(leg, "refused_conn")
+        elif line.up:
+            self.send(leg, line)
+        else:
+            leg.line = line
+            line.waiting.append(leg)
+
+    def send(self, leg: Leg, line: Line) -> None:
+        """The bytes go now, so that what may have changed since the decision is looked at again here."""
+        q = leg.query
+        if q.answered or not self.peers[leg.engine].ready or self.now >= leg.until:
+            self.leg_over(leg, "superseded")  # never sent
+            return
+        leg.line, leg.written = line, True
+        line.legs[q.request.id] = leg
+        line.used = self.now
+        ttl = -(-(leg.until - self.now) // 10)
+        token = q.request.token if self.groups[q.request.group] in self.tokened else None
+        want = wire.Want(q.request.id, q.request.group, ttl, q.rank, token, q.request.statement)
+        self.effects.append(Send(line.number, want))
+
+    def set_rank(self, q: Query, rank: int) -> None:
+        q.rank = rank
+        for leg in q.legs:
+            if leg.written and not leg.over and leg.pages is None:
+                self.effects.append(Send(leg.line.number, wire.Hurry(q.request.id, rank)))
+
+    def time_out(self, leg: Leg) -> None:
+        if leg.over:
+            return
+        if not leg.written:
+            self.leg_over(leg, "superseded")
+        else:
+            self.leg_over(leg, "overdue", give_up=True)
+
+    def leg_over(self, leg: Leg, result: str, give_up: bool = False, final: bool = False) -> None:
+        """A submission has its ending; the module is told."""
+        if leg.over:
+            return
+        leg.over = True
+        q, line, answer = leg.query, leg.line, leg.answer
+        if line is not None:
+            if leg.written:
+                line.legs.pop(q.request.id, None)
+                if give_up:
+                    self.effects.append(Send(line.number, wire.NeverMind(q.request.id)))
+            elif leg in line.waiting:
+                line.waiting.remove(leg)
+        cost = report = None
+        if answer is not None:
+            cost = round(answer.figure("work") * 10) or None
+            report = answer.report()
+        self.module.outcome(
+            self.now, q.request.id, leg.number, result, final or q.answered, self.now - leg.sent, cost, report
+        )
+        if result not in ("finished", "overdue"):
+            self.note("submission", id=q.request.id, engine=event_bus.engine_name(leg.engine), result=result)
+        self.forget(q)
+
+    # ---- what engines say -------------------------------------------------------------------------
+
+    def said(self, line: Line | None, answer: wire.Answer) -> None:
+        if line is None:
+            return
+        line.heard = self.now
+        if answer.id in line.probes:
+            self.probe_answered(line, answer)
+            return
+        leg = line.legs.get(answer.id)
+        if leg is None:
+            return  # of a submission that was given up: its answer crossed with that
+        match answer.word:
+            case "ACK":
+                self.acknowledged(line, leg, answer)
+            case "BLOCK":
+                self.page(leg, answer)
+            case "EVENT":
+                topic = wire.TOPICS.get(answer.fields.get("why", ""))
+                if topic:
+                    figure = answer.figure("value")
+                    self.module.progress(self.now, answer.id, leg.number, topic, figure)
+            case word if word in wire.ENDINGS:
+                leg.answer = answer
+                self.leg_over(leg, wire.ENDINGS[word])
+            case word:
+                self.note("fault", what="unknown answer", word=word[:20])
+
+    def acknowledged(self, line: Line, leg: Leg, answer: wire.Answer) -> None:
+        if leg.pages is not None:
+            return
+        leg.answer = answer
+        parts = answer.whole("parts", 1)
+        if not 1 <= parts <= 64:
+            raise wire.Unreadable(f"ACK: {parts} parts")
+        leg.pages = [answer.body] + [None] * (parts - 1)
+        if leg.query.answered:
+            if parts > 1:
+                self.effects.append(Send(line.number, wire.Shut(answer.id)))
+            self.leg_over(leg, "finished")
+            return
+        self.effects.extend(Send(line.number, wire.Turn(answer.id, page)) for page in range(1, parts))
+        self.complete(leg)
+
+    def page(self, leg: Leg, answer: wire.Answer) -> None:
+        number = answer.whole("part_no", -1)
+        if leg.pages is None or not 0 < number < len(leg.pages):
+            raise wire.Unreadable(f"BLOCK: page {number} was not asked for")
+        leg.pages[number] = answer.body
+        self.complete(leg)
+
+    def complete(self, leg: Leg) -> None:
+        if any(page is None for page in leg.pages):
+            return
+        q = leg.query
+        try:
+            rows = wire.rows(b"".join(leg.pages))
+        except wire.Unreadable as fault:
+            self.note("fault", what="result", id=q.request.id, why=str(fault))
+            self.leg_over(leg, "errored")
+            return
+        self.leg_over(leg, "finished", final=True)
+        self.answer(q, Finish(q.session, rows), "finished")
+
+    def probe(self, engine: int) -> None:
+        line = self.line_for(self.peers[engine], None)
+        if line is None:
+            self.module.probed(self.now, engine, "refused_conn", None)
+            return
+        self.count += 1
+        tag = f"p{self.count}"
+        line.probes[tag] = self.now
+        line.used = self.now
+        self.at(self.now + self.connect_wait, lambda: self.probe_over(line, tag))
+        if line.up:
+            self.effects.append(Send(line.number, wire.Busy(tag)))
+
+    def probe_answered(self, line: Line, answer: wire.Answer) -> None:
+        sent = line.probes.pop(answer.id)
+        if self.now - sent <= self.connect_wait:
+            result = "finished" if answer.word == "READY" else wire.ENDINGS.get(answer.word, "errored")
+            self.module.probed(self.now, line.engine, result, answer.report())
+
+    def probe_over(self, line: Line, tag: str) -> None:
+        """No answer in time. The tag stays known: it may still come, and a silent line is told by it."""
+        if tag in line.probes and line.number in self.lines:
+            self.module.probed(self.now, line.engine, "overdue", None)
+
+    # ---- connections ------------------------------------------------------------------------------
+
+    def line_for(self, peer: Peer, q: Query | None) -> Line | None:
+        """A connection that can take one more: an open one that is heard, one that is coming up, or a new one.
+
+        Never the one on which an earlier submission of the same query went, so that no answer is taken for
+        another's; never one that has fallen silent, since nothing would come of it.
+        """
+        coming = None
+        for line in peer.lines.values():
+            if len(line.legs) + len(line.waiting) >= self.streams:
+                continue
+            if not line.up:
+                coming = coming or line
+            elif not self.silent(line) and not (q and any(leg.line is line for leg in q.legs)):
+                return line
+        return coming or self.open_line(peer)
+
+    def silent(self, line: Line) -> bool:
+        """Something is open on it, and nothing has come for longer than notes and probes take."""
+        open_since = min([*line.probes.values(), *(leg.sent for leg in line.legs.values())], default=None)
+        patience = max(2 * self.notes_every, 2 * self.connect_wait)
+        return open_since is not None and self.now - max(open_since, line.heard) > patience
+
+    def open_line(self, peer: Peer) -> Line | None:
+        if len(self.lines) >= self.most_lines:
+            self.note("fault", what="too many connections to engines", open=len(self.lines))
+            return None
+        self.count += 1
+        line = Line(self.count, peer.engine, self.now, used=self.now)
+        self.lines[line.number] = peer.lines[line.number] = line
+        self.effects.append(Connect(line.number, peer.host, peer.port))
+        return line
+
+    def connected(self, line: Line | None) -> None:
+        if line is None:
+            return
+        line.up, line.heard = True, self.now
+        for tag in line.probes:
+            self.effects.append(Send(line.number, wire.Busy(tag)))
+        while line.waiting:
+            self.send(line.waiting.popleft(), line)
+        for other in list(self.peers[line.engine].lines.values()):
+            if other is not line and other.up and not other.legs and self.silent(other):
+                self.drop(other)  # this one came up instead
+        if self.keepalive:
+            self.at(self.now + self.keepalive // 2, lambda: self.rest(line))
+
+    def rest(self, line: Line) -> None:
+        """Closes an idle connection before the engine does, so that no request crosses a close."""
+        if line.number not in self.lines:
+            return
+        if not line.legs and self.now - line.used >= self.keepalive // 2:
+            self.drop(line)
+        else:
+            self.at(max(line.used, self.now) + self.keepalive // 2, lambda: self.rest(line))
+
+    def drop(self, line: Line) -> None:
+        self.lines.pop(line.number, None)
+        self.peers[line.engine].lines.pop(line.number, None)
+        self.effects.append(HangUp(line.number))
+
+    def not_connected(self, line: Line | None) -> None:
+        if line is None:
+            return
+        self.forget_line(line)
+        for tag in line.probes:
+            self.module.probed(self.now, line.engine, "refused_conn", None)
+            self.note("probe", engine=event_bus.engine_name(line.engine), tag=tag, result="refused_conn")
+        while line.waiting:
+            self.leg_over(line.waiting.popleft(), "refused_conn")
+
+    def lost(self, line: Line | None, why: str) -> None:
+        if line is None:
+            return
+        self.forget_line(line)
+        self.note("line_lost", engine=event_bus.engine_name(line.engine), why=why, open=len(line.legs))
+        for leg in list(line.legs.values()):
+            self.leg_over(leg, "severed")
+        for _ in line.probes:
+            self.module.probed(self.now, line.engine, "severed", None)
+
+    def forget_line(self, line: Line) -> None:
+        self.lines.pop(line.number, None)
+        self.peers[line.engine].lines.pop(line.number, None)
+
+    # ---- the list of engines ----------------------------------------------------------------------
+
+    def told(self, news: event_bus.News) -> None:
+        if news.mode == "Nothing":
+            return
+        listed = {entry.listing.engine: entry for entry in news.entries}
+        for engine, entry in listed.items():
+            ready = entry.listing.state == "Ready"
+            peer = self.peers.get(engine)
+            if peer is None:
+                self.peers[engine] = Peer(engine, entry.host, entry.port, ready)
+                continue
+            peer.ready = ready
+            if (peer.host, peer.port) != (entry.host, entry.port):
+                peer.host, peer.port = entry.host, entry.port
+                self.move(peer)
+        if news.mode == "Complete":
+            for engine, peer in self.peers.items():
+                peer.ready = peer.ready and engine in listed
+        self.module.roster(self.now, news.mode, [entry.listing for entry in news.entries])
+        states = {event_bus.engine_name(e): entry.listing.state for e, entry in listed.items()}
+        self.note("roster", number=news.number, mode=news.mode, engines=states)
+
+    def move(self, peer: Peer) -> None:
+        """The engine has a new address: what waits for the old one was never sent."""
+        for line in list(peer.lines.values()):
+            if not line.up:
+                waiting, line.waiting = list(line.waiting), deque()
+                for leg in waiting:
+                    self.leg_over(leg, "superseded")
+            if not line.legs:
+                self.drop(line)
+            else:
+                peer.lines.pop(line.number)  # its submissions may still answer; it takes nothing new
--- /dev/null
+++ b/hillchute/router/statement.py
@@ -0,0 +1,124 @@
+"""Reads a statement: the fields in its leading comment, and the group of tables that it names.
+
+Owns the form of the fields and the scan for table names. Must never change the statement's own text, nor decide
+anything about a query; what can't be read is a Misread that names the field.
+"""
+
+import re
+from typing import NamedTuple
+
+LONGEST_KEY = 256  # bytes of a field's value; the protocol's own are 32 at most
+
+WANTED = re.compile(rb"\s*/\*(.*?)\*/", re.DOTALL)
+HEX16 = re.compile(r"[0-9a-f]{16}", re.IGNORECASE)
+WORD = re.compile(r"[^\s,]+")
+
+
+class Misread(Exception):
+    """The statement is not one that a client of this platform sends."""
+
+
+class Request(NamedTuple):
+    """One query as a client asks for it; times in tenths of a millisecond, memory in MB."""
+
+    id: str
+    group: str
+    patience: int
+    statement: bytes
+    tables: int | None
+    token: str | None = None
+    cost: int | None = None
+    memory: float = 0.0
+    key: str | None = None
+
+
+def number(name: str, text: str, least: float, most: float) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        raise Misread(f"field {name} is not a number: {text[:40]}") from None
+    if not least <= value <= most:  # also false for nan
+        raise Misread(f"field {name} is out of range: {text[:40]}")
+    return value
+
+
+def word(name: str, text: str | None) -> str | None:
+    if text is not None and (len(text) > LONGEST_KEY or not WORD.fullmatch(text)):
+        raise Misread(f"field {name} is not one word")
+    return text
+
+
+def read(text: bytes) -> Request:
+    """The request that a COM_QUERY holds."""
+    head = WANTED.match(text)
+    if head is None:
+        raise Misread("no comment with fields ahead of the statement")
+    fields: dict[str, str] = {}
+    try:
+        pairs = head[1].decode("ascii").strip().split(",")
+    except UnicodeDecodeError:
+        raise Misread("the comment with the fields is not ASCII") from None
+    for pair in pairs:
+        name, sign, value = (part.strip() for part in pair.partition("="))
+        if not sign or not value:
+            raise Misread(f"field {name[:40]} has no value")
+        if name in fields:
+            raise Misread(f"field {name[:40]} stands twice")
+        fields[name] = value
+    for name in ("route", "trace", "patience"):
+        if name not in fields:
+            raise Misread(f"field {name} is absent")
+    if not HEX16.fullmatch(fields["trace"]):
+        raise Misread("field trace is not 16 hex digits")
+    statement = text[head.end() :].lstrip()
+    if not statement:
+        raise Misread("no statement after the comment")
+    return Request(
+        id=fields["trace"],
+        group=fields["route"],
+        patience=int(number("patience", fields["patience"], 0, 86_400_000) * 10),
+        statement=statement,
+        tables=table_group(statement),
+        token=word("nonce", fields.get("nonce")),
+        cost=round(number("weight", fields["weight"], 0, 1e9) * 10) if "weight" in fields else None,
+        memory=number("mb", fields["mb"], 0, 1e9) if "mb" in fields else 0.0,
+        key=word("entity", fields.get("entity")),
+    )
+
+
+# Strings with doubled or escaped quotes, all comment forms, quoted names, words and dots, in that order.
+TOKEN = re.compile(
+    rb"""'(?:[^'\\]|\\.|'')*'?|"(?:[^"\\]|\\.|"")*"?|/\*.*?(?:\*/|\Z)|--(?=[\s\x00-\x1f]|\Z)[^\n]*|\#[^\n]*"""
+    rb"""|`(?P<quoted>(?:[^`]|``)*)`|(?P<word>[A-Za-z0-9_$\x80-\xff]+)|(?P<dot>\.)|\s+|.""",
+    re.DOTALL,
+)
+SCHEMA = re.compile(rb".*_([0-9]+)", re.DOTALL)
+BEFORE_TABLES = {b"from", b"join", b"into", b"update", b"table", b"overwrite", b"only", b"ignore"}
+
+
+def table_group(statement: bytes) -> int | None:
+    """The number behind the underscore in the schema that the statement reads or writes.
+
+    A name behind FROM, JOIN, INTO and the like goes before any other, since a column may be qualified by an alias
+    that looks like a schema. Schemas without such a number, `staging` among them, don't count.
+    """
+    first: int | None = None
+    name: bytes | None = None  # the last name, while nothing but blanks or comments came after it
+    names_table = qualified = after_dot = False
+    last: bytes = b""  # the last token that is neither blank nor comment
+    for token in TOKEN.finditer(statement):
+        text = token["quoted"] if token["quoted"] is not None else token["word"]
+        if text is not None:
+            names_table = last.lower() in BEFORE_TABLES
+            name, qualified, after_dot = text, after_dot, False
+            last = b"" if token["quoted"] is not None else text
+        elif token["dot"]:
+            found = SCHEMA.fullmatch(name) if name and not qualified else None
+            if found:
+                if names_table:
+                    return int(found[1])
+                first = int(found[1]) if first is None else first
+            after_dot, name, last = True, None, b"."
+        elif not token[0].isspace() and not token[0].startswith((b"/*", b"--", b"#")):
+            name, after_dot, last = None, False, token[0]
+    return first
