Loads that would stand still behind one of ours wait in the router

Loads of one table group run one at a time on an engine; the others held memory there, stood still and counted as a crowd, so that the module refused lookups as too heavy. Now such a load waits in a line of its table group.

--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -1,9 +1,9 @@
 """What one router knows, grouped by how long it lives. Nothing here decides."""
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
-from hillchute.decision.interface import Catalog, EngineId, QueryId, Time
+from hillchute.decision.interface import Catalog, EngineId, Listing, QueryId, Time
 
 
 @dataclass(slots=True)
@@ -116,6 +116,58 @@
     fails: int = 0
     rest_until: Time = 0
 
+    def listed(self, entry: Listing, catalog: Catalog) -> None:
+        def per_kind(name: str, default: float) -> float:
+            values = catalog.get(name, default)
+            return values[entry.kind] if isinstance(values, list) else values
+
+        self.kind, self.cell, self.zone = entry.kind, entry.cell, entry.zone
+        self.cores = per_kind("domain.kind_cores", 1)
+        self.ram = per_kind("domain.ram_of_kind_mb", 0.0)
+        self.ready = entry.state == "Ready"
+
+    def began(self, now: Time, q: Query, usual: float) -> None:
+        self.out, self.threads, self.memory = (
+            self.out + 1,
+            self.threads + q.group.width,
+            self.memory + q.memory,
+        )
+        self.sent.append((now, q.group.width, q.memory))
+        self.fresh, self.fresh_memory = self.fresh + q.group.width, self.fresh_memory + q.memory
+        self.cold.append((now, usual))
+        if q.group.is_load:
+            self.holds.append(q.tables)
+
+    def ended(self, q: Query) -> None:
+        self.out, self.threads, self.memory = (
+            self.out - 1,
+            self.threads - q.group.width,
+            self.memory - q.memory,
+        )
+        if q.group.is_load:
+            self.holds.remove(q.tables)
+
+    def since(self, start: Time) -> tuple[int, float]:
+        """Threads and memory that this router has sent since then."""
+        while self.sent and self.sent[0][0] < start:
+            _, threads, memory = self.sent.popleft()
+            self.fresh, self.fresh_memory = self.fresh - threads, self.fresh_memory - memory
+        return self.fresh, self.fresh_memory
+
+
+@dataclass(slots=True)
+class Traffic:
+    """The queries taken of late, and how many by each customer."""
+
+    line: deque = field(default_factory=deque)  # (time, customer)
+    of: Counter = field(default_factory=Counter)
+
+    def add(self, now: Time, tenant: int, start: Time) -> None:
+        while self.line and self.line[0][0] < start:
+            self.of[self.line.popleft()[1]] -= 1
+        self.line.append((now, tenant))
+        self.of[tenant] += 1
+
 
 @dataclass(slots=True)
 class Lane:
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -7,12 +7,12 @@
 """
 
 from bisect import bisect
-from collections import Counter, defaultdict, deque
+from collections import defaultdict, deque
 from heapq import heappop, heappush
 from itertools import accumulate
 from zlib import crc32
 
-from hillchute.decision.state import Engine, Lane, Query, ResourceGroup, Submission
+from hillchute.decision.state import Engine, Lane, Query, ResourceGroup, Submission, Traffic
 
 SECOND = 10_000
 MILLISECOND = 10
@@ -72,10 +72,10 @@
         self.engines: dict[int, Engine] = {}
         self.lanes, self.stirred = defaultdict(Lane), {}  # and the keys whose lanes may have moved
         self.queue, self.dash = deque(), deque()  # waiting: teams to be, and dashboards with no engine
+        self.behind = defaultdict(deque)  # table group: loads that wait for a load of it to end
         self.home = {}  # table group: the engine that last ran it
         self.looks = []  # heap of (time, order, query id): look at this query again
-        self.taken, self.extras, self.planned = deque(), deque(), deque()
-        self.traffic = Counter()  # of taken, by customer
+        self.taken, self.extras, self.planned = Traffic(), deque(), deque()
         self.paces, self.paced_at = {}, 0
         self.probe_credit = len(self.groups)
         self.price = 0.0  # mean work for a value of one, as asked
@@ -95,32 +95,22 @@
         listed = {}
         for entry in listings:
             listed[entry.engine] = e = self.engines.setdefault(entry.engine, Engine(entry.engine))
-            e.kind, e.cell, e.zone = entry.kind, entry.cell, entry.zone
-            e.cores = self.per_kind("domain.kind_cores", entry.kind, 1)
-            e.ram = self.per_kind("domain.ram_of_kind_mb", entry.kind, 0.0)
-            e.ready = entry.state == "Ready"
+            e.listed(entry, self.catalog)
             if entry.started > e.started:
                 e.started, e.fails, e.rest_until = entry.started, 0, now
         if mode != "Partial":
             for engine_id, e in self.engines.items():
                 e.ready = e.ready and engine_id in listed
 
-    def per_kind(self, name, kind, default):
-        values = self.catalog.get(name, default)
-        return values[kind] if isinstance(values, list) else values
-
     def take(self, now, query, group, due, tables=None, tenant=0, cost=None, memory=0.0, key=None):
         self.now = now
         start = now - max(TRAFFIC_SPAN, self.catalog.get("guarantees.look_back") or 0) - 2
         trim(self.extras, start)
-        while self.taken and self.taken[0][0] < start:
-            self.traffic[self.taken.popleft()[1]] -= 1
+        self.taken.add(now, tenant, start)
         g = self.groups[group]
         cost = max(1, cost or g.usual or g.target * g.width // 2)
         g.usual += SMOOTH * (cost - g.usual) if g.usual else cost
         q = self.queries[query] = Query(query, g, now, due, tables, tenant, cost, memory, key)
-        self.taken.append((now, tenant))
-        self.traffic[tenant] += 1
         self.price = (1 - SMOOTH) * (self.price or cost / g.value) + SMOOTH * cost / g.value
         self.probe_credit = min(self.probe_credit + 1 / QUERIES_A_PROBE, len(self.engines))
         self.look(q, due - self.margin)
@@ -149,10 +139,9 @@
         sub = q.legs[leg]
         e = self.engines[sub.engine]
         sub.open = False
-        e.out, e.threads = e.out - 1, e.threads - q.group.width
-        e.memory -= q.memory
-        if q.group.is_load:
-            e.holds.remove(q.tables)
+        e.ended(q)
+        if q.group.is_load and self.behind.get(q.tables):
+            self.line_up(self.behind[q.tables].popleft(), front=True)
         if report:
             self.read_report(e, report)
         if result not in NEVER_RAN and q.ran is None:
@@ -234,8 +223,8 @@
 
     def end(self, q):
         """The query is answered; it is kept while a submission is out, since its key waits for that."""
-        if q.place in ("queue", "dash"):
-            (self.queue if q.place == "queue" else self.dash).remove(q)
+        if q.place in ("queue", "dash", "behind"):
+            {"queue": self.queue, "dash": self.dash, "behind": self.behind[q.tables]}[q.place].remove(q)
         q.place = "ended"
         if not q.out:
             self.queries.pop(q.id, None)
@@ -262,7 +251,7 @@
         least, share = (self.catalog.get(f"guarantees.{x}", 0) for x in ("min_extra", "extra_share"))
         # The clock is rounded: count a little more of what was used, a little less of what was taken.
         used = sum(t >= self.now - span - 2 for (t,) in self.extras)
-        return used + 1 <= least + share * sum(t >= self.now - span + 2 for t, _ in self.taken)
+        return used + 1 <= least + share * sum(t >= self.now - span + 2 for t, _ in self.taken.line)
 
     def may_defer(self, q):
         """Rule 2: a deferral tells the client that trying again is harmless."""
@@ -297,18 +286,12 @@
 
     # ---- the engines --------------------------------------------------------------------------------
 
-    def since(self, e):
-        while e.sent and e.sent[0][0] < max(e.reported_at - LAG, self.now - PRESSED):
-            _, threads, memory = e.sent.popleft()
-            e.fresh, e.fresh_memory = e.fresh - threads, e.fresh_memory - memory
-        return e.fresh, e.fresh_memory
-
     def load(self, e):
         """Threads on the engine: as reported plus this router's since; unheard, the average of the reports.
 
         A report goes over into the average as it ages: what it told has gone after a few queries' time.
         """
-        threads, _ = self.since(e)
+        threads = e.since(max(e.reported_at - LAG, self.now - PRESSED))[0]
         if self.held is None:
             return e.threads
         mean, known = self.held * e.cores, 0.5 ** ((self.now - e.reported_at) / FADE)
@@ -337,7 +320,11 @@
             free = min(free, max(width, share) - e.threads) * least
         slots = int(free // width)
         if q.memory and e.ram:
-            given = 0 if e.granted is None else e.granted * e.ram + self.since(e)[1]
+            given = (
+                0
+                if e.granted is None
+                else e.granted * e.ram + e.since(max(e.reported_at - LAG, self.now - PRESSED))[1]
+            )
             slots = min(slots, int((e.ram - max(e.memory, given)) // q.memory))
         return max(0, slots, least * int(not e.out))
 
@@ -378,7 +365,8 @@
         """
         # Reports that count what engines hold tell a crowd from a slowdown; elsewhere only the pace does.
         pace = self.pace() / (2 if self.counted else 1)
-        pressure = max(pace, self.held or 0, BACKLOG * self.waited(self.queue[0]) if self.queue else 0)
+        line = q.group.is_load and self.behind.get(q.tables) or self.queue
+        pressure = max(pace, self.held or 0, BACKLOG * self.waited(line[0]) if line else 0)
         pressure *= OVER if self.over_share(q.tenant) else 1
         heavy = q.cost / (q.group.usual * q.group.value * self.price) ** 0.5
         return heavy > (EASE / pressure) ** STEEP
@@ -390,8 +378,8 @@
     def over_share(self, tenant):
         """Is the customer well over its share of late, by fraction and by rate?"""
         fraction, rate = (self.catalog.get(f"parties.{tenant}.{x}") for x in ("fraction", "quota_per_s"))
-        span, n = max(SECOND, self.now - self.taken[0][0]), self.traffic[tenant]
-        return rate and n * self.routers * SECOND > rate * span and n > OVER * fraction * len(self.taken)
+        span, n = max(SECOND, self.now - self.taken.line[0][0]), self.taken.of[tenant]
+        return rate and n * self.routers * SECOND > rate * span and n > OVER * fraction * len(self.taken.line)
 
     def latest_start(self, q):
         """The last moment at which a start still makes the target runtime."""
@@ -426,7 +414,9 @@
                     self.line_up(q, front=True)
                 else:
                     self.give_up(q)
-            elif q.place in ("queue", "dash") and (self.now >= self.latest_start(q) or self.too_heavy(q)):
+            elif q.place in ("queue", "dash", "behind") and (
+                self.now >= self.latest_start(q) or self.too_heavy(q)
+            ):
                 self.give_up(q)
 
     def give_up(self, q):
@@ -472,7 +462,8 @@
         engines = [e for e in self.engines.values() if self.allowed(e, q) and self.now >= e.rest_until]
         if q.group.waits or q.group.is_load:
             engines = self.side(engines, q)
-            engines = [e for e in engines if q.tables not in e.holds] or engines
+            free = [e for e in engines if q.tables not in e.holds]
+            engines = free if q.group.is_load else free or engines
         if q.legs:
             engines = [e for e in engines if e.id != q.legs[-1].engine] or engines
         return engines
@@ -487,7 +478,20 @@
         half = set(order[: len(order) // 2])
         return [e for e in engines if (e.id in half) == q.group.is_load] or engines
 
+    def stands(self, q):
+        """Would this load stand still behind one of ours wherever it may go?
+
+        Guards against engines full of loads that hold memory, stand still and look like a crowd: there it would
+        wait all the same. Acts where loads of one table group come faster than its engines run them.
+        """
+        engines = q.group.is_load and [e for e in self.engines.values() if self.allowed(e, q)]
+        return bool(engines) and all(q.tables in e.holds for e in self.side(engines, q))
+
     def send_team(self):
+        while self.queue and self.stands(self.queue[0]):
+            q = self.queue.popleft()
+            self.behind[q.tables].append(q)
+            q.place = "behind"
         if not self.queue:
             return
         leader = self.queue[0]
@@ -522,17 +526,11 @@
         sub = Submission(e.id, self.now, q.cost * q.group.scale, max(GRAIN, self.alone(q)))
         q.legs.append(sub)
         self.work, self.span = self.work + sub.work, self.span + sub.alone
-        if crc32(q.id.encode()) % (1 + len(self.taken) // SAMPLE) == 0:
+        if crc32(q.id.encode()) % (1 + len(self.taken.line) // SAMPLE) == 0:
             self.recent.append((self.now, sub))
         q.place = "out"
-        e.out, e.threads = e.out + 1, e.threads + q.group.width
-        e.memory += q.memory
-        e.sent.append((self.now, q.group.width, q.memory))
-        e.fresh, e.fresh_memory = e.fresh + q.group.width, e.fresh_memory + q.memory
-        e.cold.append((self.now, self.usual_work(q.group)))
+        e.began(self.now, q, self.usual_work(q.group))
         self.home[q.tables] = e.id
-        if q.group.is_load:
-            e.holds.append(q.tables)
 
     def set_terms(self, q):
         """Short and light work first, where engines heed priorities."""
--- a/hillchute/router/__main__.py
+++ b/hillchute/router/__main__.py
@@ -23,7 +23,7 @@
     except config.BadConfiguration as fault:
         print(f"hillchute: {fault}", file=sys.stderr)
         return 2
-    anyio.run(serve, station)
+    anyio.run(serve, station, backend_options={"use_uvloop": True})
     return 0
 
 
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -180,6 +180,7 @@
         self.keepalive: Time = catalog.get("limits.keepalive", 0)
         self.notes_every: Time = catalog.get("domain.tells_every", 0)
         self.open_cap = catalog.get("limits.open_cap", 0)
+        self.tick: Time = max(1, catalog.get("tick", 1))
         self.tokened = {n for n in self.groups.values() if catalog.get(f"groups.{n}.effect") == "tokened"}
         self.ordered = {n for n in self.groups.values() if catalog.get(f"groups.{n}.keep_order")}
         self.most_lines = most_lines
@@ -257,7 +258,8 @@
         heappush(self.due, (when, self.count, call))
 
     def set_alarm(self) -> None:
-        first = self.due[0][0] if self.due else None
+        # Whole ticks: the module asks for a look at every query's turns, thousands a second when it is busy.
+        first = -(-self.due[0][0] // self.tick) * self.tick if self.due else None
         if first is not None and first != self.alarm:
             self.effects.append(Alarm(first))
         self.alarm = first
