--- a/hillchute/router/engine_wire.py
+++ b/hillchute/router/engine_wire.py
@@ -148,13 +148,13 @@
         return Answer(id, word, fields, body)
 
 
-def rows(text: bytes) -> list[tuple[bytes, ...]]:
+def rows(text: bytes) -> list[list[bytes]]:
     """The rows of a whole result: three columns each."""
     if not text:
         return []
     if not text.endswith(b"\n"):
         raise Unreadable("the last row has no end")
-    found = [tuple(line.split(b"\t")) for line in text[:-1].split(b"\n")]
-    if any(len(row) != 3 for row in found):
+    found = [line.split(b"\t") for line in text[:-1].split(b"\n")]
+    if set(map(len, found)) != {3}:
         raise Unreadable("a row has not three columns")
     return found
--- a/hillchute/router/mysql.py
+++ b/hillchute/router/mysql.py
@@ -6,7 +6,7 @@
 
 import struct
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 VERSION = b"8.0.36-hillchute"
@@ -78,6 +78,7 @@
 
 EOF = b"\xfe" + struct.pack("<HH", 0, AUTOCOMMIT)
 OK = b"\0\0\0" + struct.pack("<HH", AUTOCOMMIT, 0)
+ROW = b"%c\0\0%c%c%b%c%b%c%b"
 HEADER = (length(len(COLUMNS)), *(column(name) for name in COLUMNS), EOF)
 
 
@@ -209,8 +210,19 @@
     def failed(self, kind: tuple[int, bytes], message: str) -> bytes:
         return self.answer([error(kind, message)])
 
-    def result(self, rows: Iterable[tuple[bytes, ...]]) -> bytes:
-        return self.answer([*HEADER, *(b"".join(map(text, row)) for row in rows), EOF])
+    def result(self, rows: Iterable[Sequence[bytes]]) -> bytes:
+        """A result set. Rows of short columns, nearly all there are, are written in one step each."""
+        out = [self.packets(HEADER)]
+        for row in rows:
+            a, b, c = row
+            size = len(a) + len(b) + len(c) + 3
+            if size < 251:
+                out.append(ROW % (size, self.sequence, len(a), a, len(b), b, len(c), c))
+                self.sequence = self.sequence + 1 & 255
+            else:
+                out.append(self.packets([b"".join(map(text, row))]))
+        out.append(self.answer([EOF]))
+        return b"".join(out)
 
 
 def login(payload: bytes) -> tuple[bytes, bytes, bytes | None]:
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -74,7 +74,7 @@
 
 class Finish(NamedTuple):
     session: int
-    rows: list[tuple[bytes, ...]]
+    rows: list[list[bytes]]
 
 
 class Defer(NamedTuple):
@@ -194,11 +194,13 @@
         self.due: list[tuple[Time, int, Callable[[], None]]] = []
         self.alarm: Time | None = None
         self.effects: list[Effect] = []
+        self.informed = False  # whether the module was told anything in this round
 
     def reduce(self, event: Event, now: Time) -> list[Effect]:
         """Takes one event in; the effects that follow from it, in order."""
         self.now = now
         self.effects = []
+        self.informed = not isinstance(event, Said)
         match event:
             case Asked(session, request):
                 self.take(session, request)
@@ -218,7 +220,9 @@
                 self.closing(end)
         while self.due and self.due[0][0] <= now:
             heappop(self.due)[2]()
-        self.pull()
+            self.informed = True
+        if self.informed:  # a page or a note alone tells the module nothing that it decides by
+            self.pull()
         self.set_alarm()
         return self.effects
 
@@ -406,6 +410,7 @@
                     self.effects.append(Send(line.number, wire.NeverMind(q.request.id)))
             elif leg in line.waiting:
                 line.waiting.remove(leg)
+        self.informed = True
         cost = report = None
         if answer is not None:
             cost = round(answer.figure("work") * 10) or None
@@ -496,6 +501,7 @@
 
     def probe_answered(self, line: Line, answer: wire.Answer) -> None:
         sent = line.probes.pop(answer.id)
+        self.informed = True
         if self.now - sent <= self.connect_wait:
             result = "finished" if answer.word == "READY" else wire.ENDINGS.get(answer.word, "errored")
             self.module.probed(self.now, line.engine, result, answer.report())
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -4,14 +4,17 @@
 submission, nor decide anything: it turns bytes into events and effects into bytes.
 """
 
+import contextlib
 import gc
+import os
 import signal
+import socket
 import time
 import traceback
 from collections.abc import Awaitable
 
 import anyio
-from anyio.abc import ByteStream, SocketStream
+import anyio.abc
 
 from hillchute.catalog import up
 from hillchute.decision.teamwork import Teamwork
@@ -25,6 +28,7 @@
 BUS_SILENCE = 2.5  # seconds without the frame that the protocol promises each second: a new connection
 BUS_RETRY = 0.25  # seconds between two tries to reach the event bus
 STILL_COMING = 0.7  # seconds after a signal in which clients may still come, by the protocol
+COLLECT = (20_000, 20, 50)  # objects made before a collection: the usual 700 are one query in a burst
 LAG = 0.05  # seconds that a timer may come late before it is logged
 GONE = (anyio.EndOfStream, anyio.ClosedResourceError, anyio.BrokenResourceError, OSError)
 
@@ -33,51 +37,86 @@
     return up(time.time_ns())
 
 
-class Outbox:
-    """Bytes on their way to one peer."""
+class Pipe:
+    """One connection's socket, and the bytes that it has not taken yet.
 
-    def __init__(self) -> None:
-        self.bytes = bytearray()
-        self.closing = False
-        self.filled = anyio.Event()
-
-    def put(self, data: bytes) -> None:
-        self.bytes += data
-        self.filled.set()
+    Writes go out at once where the socket takes them: a task for each would cost more than the query itself.
+    """
 
-    def close(self) -> None:
-        """Ends once all is written."""
-        self.closing = True
-        self.filled.set()
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.left = bytearray()
+        self.draining = False
 
-    async def drain(self, stream: ByteStream, scope: anyio.CancelScope) -> None:
+    def put(self, data: bytes, tasks: anyio.abc.TaskGroup) -> None:
+        if self.left:
+            self.left += data
+            return
+        try:
+            sent = self.sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            return  # it is broken: whoever reads from it hears of that
+        if sent < len(data):
+            self.left += data[sent:]
+            if not self.draining:
+                self.draining = True
+                tasks.start_soon(self.drain)
+
+    async def drain(self) -> None:
         try:
-            while self.bytes or not self.closing:
-                if not self.bytes:
-                    self.filled = anyio.Event()
-                    await self.filled.wait()
-                    continue
-                data, self.bytes = bytes(self.bytes), bytearray()
-                await stream.send(data)
-        except GONE:
-            pass
-        scope.cancel()
+            while self.left:
+                await anyio.wait_writable(self.sock)
+                del self.left[: self.sock.send(self.left)]
+        except (*GONE, ValueError):
+            self.left.clear()
+        finally:
+            self.draining = False
+
+    async def get(self) -> bytes:
+        """What has come; empty once the other side has closed or the connection is broken."""
+        while len(self.left) < HELD:
+            try:
+                return self.sock.recv(READ)
+            except BlockingIOError:
+                await anyio.wait_readable(self.sock)
+            except OSError:
+                break
+        return b""
 
 
 class Client:
-    def __init__(self, number: int) -> None:
+    def __init__(self, number: int, pipe: Pipe) -> None:
         self.session = mysql.Session(number)
-        self.outbox = Outbox()
+        self.pipe = pipe
 
 
 class Link:
     """A connection to an engine, from the first try on."""
 
     def __init__(self) -> None:
-        self.outbox = Outbox()
+        self.pipe: Pipe | None = None
         self.scope = anyio.CancelScope()
 
 
+async def connect(host: str, port: int) -> socket.socket:
+    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with contextlib.suppress(BlockingIOError):
+            sock.connect((host, port))
+        await anyio.wait_writable(sock)
+        fault = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if fault:
+            raise OSError(fault, os.strerror(fault))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
 class Service:
     def __init__(self, station: Station, log: Log, lifecycle: Lifecycle) -> None:
         self.station = station
@@ -96,14 +135,18 @@
     # ---- events in, effects out -------------------------------------------------------------------
 
     def handle(self, event: reducer.Event) -> None:
+        sends: dict[int, bytes] = {}
         for effect in self.reducer.reduce(event, clock()):
-            self.carry_out(effect)
+            if isinstance(effect, reducer.Send):
+                sends[effect.line] = sends.get(effect.line, b"") + engine_wire.encode(effect.command)
+            else:
+                self.carry_out(effect)
+        for line, data in sends.items():
+            if line in self.links:
+                self.links[line].pipe.put(data, self.tasks)
 
     def carry_out(self, effect: reducer.Effect) -> None:
         match effect:
-            case reducer.Send(line, command):
-                if line in self.links:
-                    self.links[line].outbox.put(engine_wire.encode(command))
             case reducer.Finish(session, rows):
                 self.reply(session, lambda s: s.result(rows))
             case reducer.Defer(session, after):
@@ -129,7 +172,7 @@
     def reply(self, session: int, encode) -> None:
         client = self.clients.get(session)
         if client is not None:
-            client.outbox.put(encode(client.session))
+            client.pipe.put(encode(client.session), self.tasks)
             self.commands(client)
 
     async def guarded(self, work: Awaitable[None], what: str) -> None:
@@ -145,16 +188,18 @@
         async with anyio.create_task_group() as self.tasks:
             for news in self.station.known:
                 self.handle(reducer.Told(news))
-            listener = await anyio.create_tcp_listener(
-                local_host=self.station.host, local_port=self.station.port
+            family = socket.AF_INET6 if ":" in self.station.host else socket.AF_INET
+            listener = socket.create_server(
+                (self.station.host, self.station.port), family=family, backlog=1024
             )
+            listener.setblocking(False)
             self.tasks.start_soon(self.watch_signals)
             self.tasks.start_soon(self.ring)
             self.tasks.start_soon(self.follow_bus)
-            for one in listener.listeners:
-                self.tasks.start_soon(self.accept, one)
+            self.tasks.start_soon(self.accept, listener)
             gc.collect()
             gc.freeze()  # what the start has made lives to the end: no later collection need look at it
+            gc.set_threshold(*COLLECT)
             self.lifecycle.enter(Phase.SERVING)
             await self.lifecycle.reach(Phase.CLOSING)
             await self.close(listener)
@@ -164,12 +209,13 @@
     async def close(self, listener) -> None:
         self.handle(reducer.Closing(clock() + self.station.closing))
         await anyio.sleep(STILL_COMING)
-        await listener.aclose()
+        anyio.notify_closing(listener)
+        listener.close()
         while self.reducer.asking:
             await anyio.sleep(0.01)
         self.lifecycle.enter(Phase.FLUSHING)
         with anyio.move_on_after(STILL_COMING):
-            while any(client.outbox.bytes for client in self.clients.values()):
+            while any(client.pipe.left for client in self.clients.values()):
                 await anyio.sleep(0.01)
             await anyio.sleep(0.05)
 
@@ -196,48 +242,50 @@
 
     # ---- clients ----------------------------------------------------------------------------------
 
-    async def accept(self, listener) -> None:
+    async def accept(self, listener: socket.socket) -> None:
         while True:
             try:
-                stream = await listener.accept()
-            except anyio.ClosedResourceError:
-                return
+                sock, _ = listener.accept()
+            except BlockingIOError:
+                try:
+                    await anyio.wait_readable(listener)
+                except anyio.ClosedResourceError:
+                    return
+                continue
             except OSError as fault:  # out of descriptors, or a connection that broke before it was taken
+                if listener.fileno() < 0:
+                    return
                 self.log.write("fault", what="accept", why=str(fault))
                 await anyio.sleep(0.05)
                 continue
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.sessions += 1
-            self.tasks.start_soon(
-                self.guarded, self.client(stream, self.sessions), f"session {self.sessions}"
-            )
+            self.tasks.start_soon(self.guarded, self.client(sock, self.sessions), f"session {self.sessions}")
 
-    async def client(self, stream: SocketStream, number: int) -> None:
-        client = Client(number)
-        async with stream:
+    async def client(self, sock: socket.socket, number: int) -> None:
+        pipe = Pipe(sock)
+        client = Client(number, pipe)
+        with sock:
             if len(self.clients) >= self.most_sessions:
-                await stream.send(client.session.close(mysql.REFUSED, "too many sessions"))
+                pipe.put(client.session.close(mysql.REFUSED, "too many sessions"), self.tasks)
                 return
             self.clients[number] = client
             try:
-                async with anyio.create_task_group() as tasks:
-                    client.outbox.put(client.session.greeting())
-                    tasks.start_soon(client.outbox.drain, stream, tasks.cancel_scope)
-                    await self.hear_client(stream, client)
-                    if client.session.over:
-                        client.outbox.close()
-                    else:
-                        tasks.cancel_scope.cancel()
+                pipe.put(client.session.greeting(), self.tasks)
+                await self.hear_client(client)
+                with anyio.move_on_after(STILL_COMING):
+                    while client.session.over and pipe.left:
+                        await anyio.sleep(0.01)
             finally:
                 del self.clients[number]
                 self.handle(reducer.Left(number))
 
-    async def hear_client(self, stream: SocketStream, client: Client) -> None:
-        while not client.session.over and len(client.outbox.bytes) < HELD:
-            try:
-                data = await stream.receive(READ)
-            except GONE:
-                return
-            client.outbox.put(client.session.feed(data))
+    async def hear_client(self, client: Client) -> None:
+        while not client.session.over and (data := await client.pipe.get()):
+            out = client.session.feed(data)
+            if out:
+                client.pipe.put(out, self.tasks)
             self.commands(client)
 
     def commands(self, client: Client) -> None:
@@ -245,7 +293,8 @@
         session = client.session
         while True:
             command, out = session.command()
-            client.outbox.put(out)
+            if out:
+                client.pipe.put(out, self.tasks)
             match command:
                 case None:
                     return
@@ -256,16 +305,16 @@
                     if known:
                         self.handle(reducer.Left(number))
                     done = session.ok() if known else session.failed(mysql.NO_SUCH_THREAD, "no such session")
-                    client.outbox.put(done)
+                    client.pipe.put(done, self.tasks)
                 case mysql.Ping():
-                    client.outbox.put(session.ok())
+                    client.pipe.put(session.ok(), self.tasks)
 
     def ask(self, client: Client, text: bytes) -> None:
         try:
             request = statement.read(text)
         except statement.Misread as fault:
             self.log.write("misread", session=client.session.number, why=str(fault))
-            client.outbox.put(client.session.failed(mysql.BAD_STATEMENT, str(fault)))
+            client.pipe.put(client.session.failed(mysql.BAD_STATEMENT, str(fault)), self.tasks)
             return
         self.handle(reducer.Asked(client.session.number, request))
 
@@ -276,7 +325,7 @@
         with link.scope:
             try:
                 with anyio.fail_after(self.reducer.connect_wait / SECOND):
-                    stream = await anyio.connect_tcp(host, port)
+                    sock = await connect(host, port)
             except (OSError, TimeoutError) as fault:
                 self.links.pop(number, None)
                 self.log.write(
@@ -285,28 +334,24 @@
                 self.handle(reducer.NotConnected(number))
                 return
             why = "closed"
+            link.pipe = Pipe(sock)
             try:
-                async with stream, anyio.create_task_group() as tasks:
-                    tasks.start_soon(link.outbox.drain, stream, tasks.cancel_scope)
+                with sock:
                     self.handle(reducer.Connected(number))
-                    why = await self.hear_engine(stream, number, link)
-                    tasks.cancel_scope.cancel()
+                    why = await self.hear_engine(link.pipe, number)
             finally:
                 self.links.pop(number, None)
                 self.handle(reducer.Lost(number, why))
 
-    async def hear_engine(self, stream: SocketStream, number: int, link: Link) -> str:
+    async def hear_engine(self, pipe: Pipe, number: int) -> str:
         decoder = engine_wire.Decoder()
-        while len(link.outbox.bytes) < HELD:
-            try:
-                data = await stream.receive(READ)
+        try:
+            while data := await pipe.get():
                 for answer in decoder.feed(data):
                     self.handle(reducer.Said(number, answer))
-            except GONE as fault:
-                return type(fault).__name__
-            except engine_wire.Unreadable as fault:
-                return f"unreadable: {fault}"
-        return "it does not read"
+        except engine_wire.Unreadable as fault:
+            return f"unreadable: {fault}"
+        return "closed by the engine, broken, or not reading"
 
     # ---- the event bus ----------------------------------------------------------------------------
 
