--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -479,18 +479,23 @@
         return [e for e in engines if (e.id in half) == q.group.is_load] or engines
 
     def stands(self, q):
-        """Would this load stand still behind one of ours wherever it may go?
+        """The engines for this load, if it would stand still behind one of ours on all of them.
 
         Guards against engines full of loads that hold memory, stand still and look like a crowd: there it would
         wait all the same. Acts where loads of one table group come faster than its engines run them.
         """
         engines = q.group.is_load and [e for e in self.engines.values() if self.allowed(e, q)]
-        return bool(engines) and all(q.tables in e.holds for e in self.side(engines, q))
+        engines = engines and self.side(engines, q)
+        return engines if engines and all(q.tables in e.holds for e in engines) else []
 
     def send_team(self):
-        while self.queue and self.stands(self.queue[0]):
-            q = self.queue.popleft()
-            self.behind[q.tables].append(q)
+        while self.queue and (engines := self.stands(self.queue[0])):
+            q, line = self.queue[0], self.behind[self.queue[0].tables]
+            # Guards against waiting for what can't come: a client that waits holds a session all the while.
+            if self.now + sum(map(self.expected, line)) / len(engines) > self.latest_start(q):
+                return self.give_up(q)
+            self.queue.popleft()
+            line.append(q)
             q.place = "behind"
         if not self.queue:
             return
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -191,7 +191,9 @@
         self.peers: dict[int, Peer] = {}
         self.lines: dict[int, Line] = {}
         self.count = 0
-        self.due: list[tuple[Time, int, Callable[[], None]]] = []
+        self.due: list[
+            tuple[Time, int, Callable[..., None], tuple]
+        ] = []  # names, not what they hold: it may end
         self.alarm: Time | None = None
         self.effects: list[Effect] = []
         self.informed = False  # whether the module was told anything in this round
@@ -219,7 +221,8 @@
             case Closing(end):
                 self.closing(end)
         while self.due and self.due[0][0] <= now:
-            heappop(self.due)[2]()
+            _, _, call, names = heappop(self.due)
+            call(*names)
             self.informed = True
         if self.informed:  # a page or a note alone tells the module nothing that it decides by
             self.pull()
@@ -250,16 +253,19 @@
             case ("probe", engine):
                 self.probe(engine)
             case ("wake", at, name):
-                self.at(at, lambda: self.module.woken(self.now, name))
+                self.at(at, self.woken, name)
             case ("watch",):
                 pass  # the event bus is always followed
 
     def note(self, event: str, **fields: object) -> None:
         self.effects.append(Note(event, fields))
 
-    def at(self, when: Time, call: Callable[[], None]) -> None:
+    def at(self, when: Time, call: Callable[..., None], *names: object) -> None:
         self.count += 1
-        heappush(self.due, (when, self.count, call))
+        heappush(self.due, (when, self.count, call, names))
+
+    def woken(self, name: str) -> None:
+        self.module.woken(self.now, name)
 
     def set_alarm(self) -> None:
         # Whole ticks: the module asks for a look at every query's turns, thousands a second when it is busy.
@@ -289,7 +295,7 @@
         self.module.take(
             self.now, request.id, group, due, request.tables, 0, request.cost, request.memory, key
         )
-        self.at(due, lambda: self.overdue(q))
+        self.at(due, self.overdue, request.id)
 
     def misfit(self, session: int, request: Request) -> str | None:
         """Why this request can't be a query here."""
@@ -306,9 +312,10 @@
             return "field entity is absent"
         return None
 
-    def overdue(self, q: Query) -> None:
+    def overdue(self, id: str) -> None:
         """Guards rule 1 against a fault in the decisions: whatever happens, the client gets an answer in time."""
-        if not q.answered:
+        q = self.queries.get(id)
+        if q is not None and not q.answered:
             self.note("fault", what="unanswered at its end", query=q.request.id)
             self.module.left(self.now, q.request.id)
             self.answer(q, Kill(q.session, "no answer in time"), "unanswered")
@@ -346,20 +353,21 @@
     def forget(self, q: Query) -> None:
         if q.answered and all(leg.over for leg in q.legs):
             self.queries.pop(q.request.id, None)
+            q.legs.clear()  # a ring of references would wait for the collector, results and all
 
     def closing(self, end: Time) -> None:
         self.end = end
         self.module.closing(self.now, end)
         for q in list(self.asking.values()):
             q.due = min(q.due, end)
-            self.at(q.due, lambda q=q: self.overdue(q))
+            self.at(q.due, self.overdue, q.request.id)
 
     # ---- submissions ------------------------------------------------------------------------------
 
     def submit(self, q: Query, engine: int, within: Time) -> None:
         leg = Leg(q, len(q.legs), engine, self.now, self.now + within)
         q.legs.append(leg)
-        self.at(leg.until, lambda: self.time_out(leg))
+        self.at(leg.until, self.time_out, q.request.id, leg.number)
         line = self.line_for(self.peers[engine], q)
         if line is None:
             self.leg_over(leg, "refused_conn")
@@ -389,9 +397,11 @@
             if leg.written and not leg.over and leg.pages is None:
                 self.effects.append(Send(leg.line.number, wire.Hurry(q.request.id, rank)))
 
-    def time_out(self, leg: Leg) -> None:
-        if leg.over:
+    def time_out(self, id: str, number: int) -> None:
+        q = self.queries.get(id)
+        if q is None or q.legs[number].over:
             return
+        leg = q.legs[number]
         if not leg.written:
             self.leg_over(leg, "superseded")
         else:
@@ -420,6 +430,7 @@
         )
         if result not in ("finished", "overdue"):
             self.note("submission", id=q.request.id, engine=event_bus.engine_name(leg.engine), result=result)
+        leg.pages = leg.answer = None
         self.forget(q)
 
     # ---- what engines say -------------------------------------------------------------------------
@@ -495,7 +506,7 @@
         tag = f"p{self.count}"
         line.probes[tag] = self.now
         line.used = self.now
-        self.at(self.now + self.connect_wait, lambda: self.probe_over(line, tag))
+        self.at(self.now + self.connect_wait, self.probe_over, line, tag)
         if line.up:
             self.effects.append(Send(line.number, wire.Busy(tag)))
 
@@ -557,7 +568,7 @@
             if other is not line and other.up and not other.legs and self.silent(other):
                 self.drop(other)  # this one came up instead
         if self.keepalive:
-            self.at(self.now + self.keepalive // 2, lambda: self.rest(line))
+            self.at(self.now + self.keepalive // 2, self.rest, line)
 
     def rest(self, line: Line) -> None:
         """Closes an idle connection before the engine does, so that no request crosses a close."""
@@ -566,7 +577,7 @@
         if not line.legs and self.now - line.used >= self.keepalive // 2:
             self.drop(line)
         else:
-            self.at(max(line.used, self.now) + self.keepalive // 2, lambda: self.rest(line))
+            self.at(max(line.used, self.now) + self.keepalive // 2, self.rest, line)
 
     def drop(self, line: Line) -> None:
         self.lines.pop(line.number, None)
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -28,7 +28,7 @@
 BUS_SILENCE = 2.5  # seconds without the frame that the protocol promises each second: a new connection
 BUS_RETRY = 0.25  # seconds between two tries to reach the event bus
 STILL_COMING = 0.7  # seconds after a signal in which clients may still come, by the protocol
-COLLECT = (20_000, 20, 50)  # objects made before a collection: the usual 700 are one query in a burst
+COLLECT = (10_000, 10, 10)  # objects made before a collection: the usual 700 are a few queries only
 LAG = 0.05  # seconds that a timer may come late before it is logged
 GONE = (anyio.EndOfStream, anyio.ClosedResourceError, anyio.BrokenResourceError, OSError)
 
