Where routers are few, each keeps its loads of a table group to engines of its own

Seen: loads finished after 3.8 s on average against 0.7 s alone, since three routers sent theirs to the same two engines and each stood behind the others'.

--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -475,7 +475,13 @@
         group and the engines' ids, so all routers split alike. Does harm where one half is short of engines.
         """
         order = sorted(self.engines, key=lambda n: crc32(f"{q.tables}:{n}".encode()))
-        half = set(order[: len(order) // 2])
+        half = order[: (len(order) + 1) // 2]
+        if q.group.is_load and self.routers <= len(half):
+            # Few routers: each has engines of its own for a group's loads, where none stands behind another's.
+            own = half[self.catalog.get("me", 0) % len(half) :: self.routers]
+            mine = [e for e in engines if e.id in own]
+            if mine:
+                return mine
         return [e for e in engines if (e.id in half) == q.group.is_load] or engines
 
     def stands(self, q):
