--- a/hillchute/catalog.py
+++ b/hillchute/catalog.py
@@ -1,7 +1,7 @@
 """The settings as the decision module gets them: a plain map of dotted names, in our words and units.
 
-Owns the translation from the platform's spelling, which the bench link reads from its wire and the router from
-its configuration. Must never hold a default or a value of its own.
+Owns the translation from the platform's spelling, which the bench link reads from its wire and the router
+from its configuration. Must never hold a default or a value of its own.
 """
 
 from collections.abc import Iterable, Mapping
--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -1,11 +1,18 @@
 """What one router knows, grouped by how long it lives. Nothing here decides."""
 
+from bisect import bisect
 from collections import Counter, deque
 from dataclasses import dataclass, field
 
 from hillchute.decision.interface import Catalog, EngineId, Listing, QueryId, Time
 
 
+def trim(line: deque, start: Time) -> None:
+    """Drops what came before start from a line of (time, ...)."""
+    while line and line[0][0] < start:
+        line.popleft()
+
+
 @dataclass(slots=True)
 class ResourceGroup:
     """A resource group as the catalog gives it, with what this router has learned of it."""
@@ -80,7 +87,8 @@
     cost: Time
     memory: float
     key: str | None
-    place: str = "new"  # new, lane, queue, dash, out, ended
+    place: str = "new"  # new, lane, queue, dash, behind, out, again, ended
+    line: deque | None = None  # where it stands while it waits in one
     legs: list[Submission] = field(default_factory=list)
     ran: Submission | None = None  # the first submission that may have run
     streaming: bool = False
@@ -126,7 +134,8 @@
         self.ram = per_kind("domain.ram_of_kind_mb", 0.0)
         self.ready = entry.state == "Ready"
 
-    def began(self, now: Time, q: Query, usual: float) -> None:
+    def began(self, now: Time, q: Query, sub: Submission, usual: float) -> None:
+        q.legs.append(sub)
         self.out, self.threads, self.memory = (
             self.out + 1,
             self.threads + q.group.width,
@@ -138,7 +147,8 @@
         if q.group.is_load:
             self.holds.append(q.tables)
 
-    def ended(self, q: Query) -> None:
+    def ended(self, q: Query, sub: Submission) -> None:
+        sub.open = False
         self.out, self.threads, self.memory = (
             self.out - 1,
             self.threads - q.group.width,
@@ -155,6 +165,35 @@
         return self.fresh, self.fresh_memory
 
 
+@dataclass(slots=True)
+class Sample:
+    """Submissions of late, and the median of the times that they took over their times alone."""
+
+    line: deque = field(default_factory=deque)  # (time, submission)
+    ratios: list = field(default_factory=list)
+    at: Time = -(10**9)
+
+    def add(self, now: Time, sub: Submission) -> None:
+        self.line.append((now, sub))
+
+    def median(self, now: Time, span: Time, every: Time, calm: int) -> float:
+        """With so many calm ones counted in; 1 where fewer than three are known: they are mostly chance."""
+        if now - self.at >= every:
+            self.at = now
+            trim(self.line, now - span)
+            aged = ((s, s.ratio or s.open * (now - s.sent) / s.alone) for _, s in self.line)
+            self.ratios = [r for s, r in aged if s.ratio or r > 1]
+            self.ratios.sort()
+        n = len(self.ratios) + calm
+        if n < 3:
+            return 1.0
+        low = bisect(self.ratios, 1.0)  # the calm ones stand there
+        middle = n // 2
+        if middle < low:
+            return self.ratios[middle]
+        return 1.0 if middle < low + calm else self.ratios[middle - calm]
+
+
 @dataclass(slots=True)
 class Traffic:
     """The queries taken of late, and how many by each customer."""
@@ -175,3 +214,9 @@
 
     turn: deque = field(default_factory=deque)
     rest_until: Time = 0
+
+    def first(self) -> Query | None:
+        """The query whose turn it is, once all before it are over."""
+        while self.turn and self.turn[0].place == "ended" and not self.turn[0].out:
+            self.turn.popleft()
+        return self.turn[0] if self.turn else None
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -1,9 +1,8 @@
 """Query Teamwork: every decision of one router, in one module. One instance is one router.
 
-A front calls the inputs (roster, take, outcome, ...), which only update what is known, and then pulls
-decide() until it gives None. The calls and the decisions are listed in hillchute/decision/interface.py,
-the state in hillchute/decision/state.py. Times are whole tenths of a millisecond. docs/design.md tells
-what is the design's, what departs from it and when; docs/oncall.md what will be seen at night.
+A front calls the inputs (roster, take, outcome, ...), which only update what is known, and pulls decide()
+until it gives None: see interface.py, and state.py for the state. Times are whole tenths of a millisecond.
+docs/design.md tells what departs from the design and when; docs/oncall.md what will be seen at night.
 """
 
 from bisect import bisect
@@ -12,7 +11,7 @@
 from itertools import accumulate
 from zlib import crc32
 
-from hillchute.decision.state import Engine, Lane, Query, ResourceGroup, Submission, Traffic
+from hillchute.decision.state import Engine, Lane, Query, ResourceGroup, Sample, Submission, Traffic, trim
 
 SECOND = 10_000
 MILLISECOND = 10
@@ -39,6 +38,7 @@
 QUERIES_A_PROBE = 1  # queries taken for each probe: a quiet router then knows a few engines afresh
 OVER = 1.25  # times a customer's fraction of the traffic: beyond chance; it feels the pressure so much more
 CROWD = 1.5  # times the bound: with so many threads a core a dashboard would only come too late
+PACE_EVERY = 5 * MILLISECOND  # so long a pace stands: it is asked for several times for each query
 PACE_SPAN = 4 * SECOND  # submissions of late: enough of them at a quiet router, few of a time that has gone
 SAMPLE = 500  # queries of TRAFFIC_SPAN up to which each submission counts in the pace; beyond, one in some
 CALM = 4  # submissions at their time alone, counted with a quiet router's few before it gives up on a query
@@ -48,17 +48,12 @@
 BACKLOG = 3.0  # pressure when the queue's head has waited all its slack: few start then in time
 STEEP = 3  # at half that pressure eight times the mean still gets in, at twice an eighth of it
 
+WAITING = ("queue", "dash", "behind")  # places of a query that stands in a line here
 NEVER_RAN = ("saturated", "refused_conn", "superseded")  # endings that prove it
 MAY_STILL_RUN = ("overdue", "severed", "recalled")  # endings after which a key rests
 BROKEN = ("refused_conn", "severed", "errored")  # endings that speak against the engine
 
 
-def trim(line, start):
-    """Drops what came before start from a line of (time, ...)."""
-    while line and line[0][0] < start:
-        line.popleft()
-
-
 class Teamwork:
     def __init__(self, seed, catalog, now):
         self.seed, self.catalog, self.now = seed, catalog, now
@@ -77,12 +72,11 @@
         self.home = {}  # table group: the engine that last ran it
         self.looks = []  # heap of (time, order, query id): look at this query again
         self.taken, self.extras, self.planned = Traffic(), deque(), deque()
-        self.paces, self.paced_at = {}, 0
         self.probe_credit, self.probe_at = len(self.groups), 0
-        self.price = 0.0  # mean work for a value of one, as asked
-        self.work = self.span = 0.0  # core time of all submissions, and their time alone
+        self.probes = catalog.get("report.via") == "probe" and catalog.get("limits.probes", False)
+        self.price = self.work = self.span = 0.0  # mean work a value; core time submitted, and time alone
         self.held, self.mine = None, 0.0  # mean threads: a core's as reported, our own on an engine then
-        self.recent = deque()  # (time, submission) of late
+        self.recent = Sample()  # submissions of late
         self.counted = "inflight" in catalog.get("report.columns", ())  # whether reports count queries held
         self.watch = catalog.get("discovery") == "on_request"
 
@@ -100,9 +94,8 @@
             e.listed(entry, self.catalog)
             if entry.started > e.started:
                 e.started, e.fails, e.rest_until = entry.started, 0, now
-        if mode != "Partial":
-            for engine_id, e in self.engines.items():
-                e.ready = e.ready and engine_id in listed
+        for e in self.engines.values():
+            e.ready = e.ready and (mode == "Partial" or e.id in listed)
 
     def take(self, now, query, group, due, tables=None, tenant=0, cost=None, memory=0.0, key=None):
         self.now = now
@@ -124,8 +117,8 @@
             self.line_up(q)
 
     def line_up(self, q, front=False):
-        line, q.place = (self.dash, "dash") if q.group.number in self.dashboards else (self.queue, "queue")
-        line.appendleft(q) if front else line.append(q)
+        q.line, q.place = (self.dash, "dash") if q.group.number in self.dashboards else (self.queue, "queue")
+        q.line.appendleft(q) if front else q.line.append(q)
         self.look(q, self.now)
         self.look(q, self.latest_start(q))
 
@@ -138,10 +131,8 @@
         q = self.queries.get(query)
         if q is None or leg >= len(q.legs) or not q.legs[leg].open:
             return
-        sub = q.legs[leg]
-        e = self.engines[sub.engine]
-        sub.open = False
-        e.ended(q)
+        sub, e = q.legs[leg], self.engines[q.legs[leg].engine]
+        e.ended(q, sub)
         if q.group.is_load and self.behind.get(q.tables):
             self.line_up(self.behind[q.tables].popleft(), front=True)
         if report:
@@ -149,8 +140,7 @@
         if result not in NEVER_RAN and q.ran is None:
             q.ran = sub
         if result in MAY_STILL_RUN and q.key is not None and q.group.in_order:
-            rest = self.catalog.get("guarantees.order_pause", 0)
-            self.lanes[q.key].rest_until = now + rest + 1
+            self.lanes[q.key].rest_until = now + self.catalog.get("guarantees.order_pause", 0) + 1
         self.judge(e, q, sub, result, elapsed, cost)
         if final or q.place == "ended":
             self.end(q)
@@ -225,8 +215,8 @@
 
     def end(self, q):
         """The query is answered; it is kept while a submission is out, since its key waits for that."""
-        if q.place in ("queue", "dash", "behind"):
-            {"queue": self.queue, "dash": self.dash, "behind": self.behind[q.tables]}[q.place].remove(q)
+        if q.place in WAITING:
+            q.line.remove(q)
         q.place = "ended"
         if not q.out:
             self.queries.pop(q.id, None)
@@ -288,12 +278,15 @@
 
     # ---- the engines --------------------------------------------------------------------------------
 
+    def since(self, e):
+        return e.since(max(e.reported_at - LAG, self.now - PRESSED))
+
     def load(self, e):
         """Threads on the engine: as reported plus this router's since; unheard, the average of the reports.
 
         A report goes over into the average as it ages: what it told has gone after a few queries' time.
         """
-        threads = e.since(max(e.reported_at - LAG, self.now - PRESSED))[0]
+        threads = self.since(e)[0]
         if self.held is None:
             return e.threads
         mean, known = self.held * e.cores, 0.5 ** ((self.now - e.reported_at) / FADE)
@@ -311,10 +304,8 @@
 
     def room(self, e, q, factor=FACTOR):
         """How many queries like this one the engine has slots and room for."""
-        width = q.group.width
-        bound = factor * e.cores
+        width, bound, least = q.group.width, factor * e.cores, 1
         free = bound - self.crowd(e)
-        least = 1
         if self.now < e.pressed_until:
             share = bound / self.routers
             # Guards against many routers whose bound is under one query: each then has one by chance only.
@@ -322,11 +313,7 @@
             free = min(free, max(width, share) - e.threads) * least
         slots = int(free // width)
         if q.memory and e.ram:
-            given = (
-                0
-                if e.granted is None
-                else e.granted * e.ram + e.since(max(e.reported_at - LAG, self.now - PRESSED))[1]
-            )
+            given = 0 if e.granted is None else e.granted * e.ram + self.since(e)[1]
             slots = min(slots, int((e.ram - max(e.memory, given)) // q.memory))
         return max(0, slots, least * int(not e.out))
 
@@ -344,20 +331,8 @@
         return int(self.alone(q) * max(1.0, self.pace(CALM)))
 
     def pace(self, calm=0):
-        """How many times its time alone a query takes now: the median of the submissions of late.
-
-        One that is out counts once it is older than that, so that a jam shows before its first answer. Lost
-        answers, bad plans and loads in the way are the fewer.
-        """
-        if not self.paces or self.now - self.paced_at >= SWEEP:
-            self.paced_at = self.now
-            trim(self.recent, self.now - PACE_SPAN)
-            aged = ((s, s.ratio or s.open * (self.now - s.sent) / s.alone) for _, s in self.recent)
-            ratios = [r for s, r in aged if s.ratio or r > 1]
-            for n in (0, CALM):
-                line = sorted([1.0] * n + ratios)  # fewer than three are mostly chance
-                self.paces[n] = line[len(line) // 2] if len(line) >= 3 else 1.0
-        return self.paces[calm]
+        """How many times its time alone a query takes now; one out longer counts, so a jam shows early."""
+        return self.recent.median(self.now, PACE_SPAN, PACE_EVERY, calm)
 
     def too_heavy(self, q):
         """Overload: the more crowded the engines, the lighter a query must be, for its group and its value.
@@ -379,12 +354,10 @@
 
     def over_share(self, tenant):
         """Is the customer well over its share of late, by fraction and by rate?"""
-        rate = self.catalog.get(f"parties.{tenant}.quota_per_s")
-        if not rate:
-            return False
-        fraction = self.catalog.get(f"parties.{tenant}.fraction")
-        span, n = max(SECOND, self.now - self.taken.line[0][0]), self.taken.of[tenant]
-        return n * self.routers * SECOND > rate * span and n > OVER * fraction * len(self.taken.line)
+        fraction, rate = (self.catalog.get(f"parties.{tenant}.{x}") for x in ("fraction", "quota_per_s"))
+        line, n = self.taken.line, self.taken.of[tenant]
+        over_rate = rate and n * self.routers * SECOND > rate * max(SECOND, self.now - line[0][0])
+        return over_rate and n > OVER * fraction * len(line)
 
     def latest_start(self, q):
         """The last moment at which a start still makes the target runtime."""
@@ -419,9 +392,7 @@
                     self.line_up(q, front=True)
                 else:
                     self.give_up(q)
-            elif q.place in ("queue", "dash", "behind") and (
-                self.now >= self.latest_start(q) or self.too_heavy(q)
-            ):
+            elif q.place in WAITING and (self.now >= self.latest_start(q) or self.too_heavy(q)):
                 self.give_up(q)
 
     def give_up(self, q):
@@ -436,17 +407,13 @@
 
     def lanes_move(self):
         """Rule 5: the next query of a key lines up when all earlier ones are over and the key has rested."""
-        for key in list(self.stirred):
-            lane = self.lanes[key]
-            if self.now >= lane.rest_until:
-                del self.stirred[key]
-            while lane.turn and lane.turn[0].place == "ended" and not lane.turn[0].out:
-                lane.turn.popleft()
-            if not lane.turn:
-                if self.now >= lane.rest_until:
-                    del self.lanes[key]
-            elif lane.turn[0].place == "lane" and self.now >= lane.rest_until:
-                self.line_up(lane.turn[0])
+        for key in [key for key in self.stirred if self.now >= self.lanes[key].rest_until]:
+            del self.stirred[key]
+            first = self.lanes[key].first()
+            if first is None:
+                del self.lanes[key]
+            elif first.place == "lane":
+                self.line_up(first)
 
     def send_dashboards(self):
         """Dashboards skip the queue and the bound."""
@@ -479,28 +446,23 @@
         Guards against standing still behind loads that other routers sent: the halves follow from the table
         group and the engines' ids, so all routers split alike. Does harm where one half is short of engines.
         """
-        order = self.orders.get(q.tables)
-        if order is None:
-            order = sorted(self.engines, key=lambda n: crc32(f"{q.tables}:{n}".encode()))
-            self.orders[q.tables] = order
-        half = order[: (len(order) + 1) // 2]
-        if q.group.is_load and self.routers <= len(half):
-            # Few routers: each has engines of its own for a group's loads, where none stands behind another's.
-            own = half[self.catalog.get("me", 0) % len(half) :: self.routers]
-            mine = [e for e in engines if e.id in own]
-            if mine:
-                return mine
-        return [e for e in engines if (e.id in half) == q.group.is_load] or engines
+        if q.tables not in self.orders:
+            self.orders[q.tables] = sorted(self.engines, key=lambda n: crc32(f"{q.tables}:{n}".encode()))
+        order = self.orders[q.tables]
+        half, loads = order[: (len(order) + 1) // 2], q.group.is_load
+        engines = [e for e in engines if (e.id in half) == loads] or engines
+        # Few routers: each has engines of its own for a group's loads; none stands behind another's.
+        own = half[self.catalog.get("me", 0) :: self.routers] if loads and self.routers <= len(half) else ()
+        return [e for e in engines if e.id in own] or engines
 
     def stands(self, q):
         """The engines for this load, if it would stand still behind one of ours on all of them.
 
-        Guards against engines full of loads that hold memory, stand still and look like a crowd: there it would
-        wait all the same. Acts where loads of one table group come faster than its engines run them.
+        Guards against engines full of loads that hold memory, stand still and look like a crowd. Acts where the
+        loads of one table group come faster than its engines run them; their order there is their order here.
         """
-        engines = q.group.is_load and [e for e in self.engines.values() if self.allowed(e, q)]
-        engines = engines and self.side(engines, q)
-        return engines if engines and all(q.tables in e.holds for e in engines) else []
+        engines = self.side([e for e in self.engines.values() if q.group.is_load and self.allowed(e, q)], q)
+        return engines if all(q.tables in e.holds for e in engines) else []
 
     def send_team(self):
         while self.queue and (engines := self.stands(self.queue[0])):
@@ -508,9 +470,8 @@
             # Guards against waiting for what can't come: a client that waits holds a session all the while.
             if self.now + sum(map(self.expected, line)) / len(engines) > self.latest_start(q):
                 return self.give_up(q)
-            self.queue.popleft()
-            line.append(q)
-            q.place = "behind"
+            line.append(self.queue.popleft())
+            q.line, q.place = line, "behind"
         if not self.queue:
             return
         leader = self.queue[0]
@@ -543,12 +504,11 @@
         self.set_terms(q)
         self.planned.append(("submit", q.id, e.id, max(1, within)))
         sub = Submission(e.id, self.now, q.cost * q.group.scale, max(GRAIN, self.alone(q)))
-        q.legs.append(sub)
         self.work, self.span = self.work + sub.work, self.span + sub.alone
         if crc32(q.id.encode()) % (1 + len(self.taken.line) // SAMPLE) == 0:
-            self.recent.append((self.now, sub))
+            self.recent.add(self.now, sub)
         q.place = "out"
-        e.began(self.now, q, self.usual_work(q.group))
+        e.began(self.now, q, sub, self.usual_work(q.group))
         self.home[q.tables] = e.id
 
     def set_terms(self, q):
@@ -561,18 +521,16 @@
 
     def probe(self):
         """Where reports come by probes alone: the engine probed longest ago, paced by the queries taken."""
-        if self.catalog.get("report.via") != "probe" or not self.catalog.get("limits.probes", False):
-            return
-        if self.probe_credit < 1 or self.now < self.probe_at:
+        if not self.probes or self.now < self.probe_at:
             return
         ready = [e for e in self.engines.values() if e.ready and self.now >= e.rest_until]
         e = min(ready, key=lambda e: e.probed_at, default=None)
-        if e and self.now - e.probed_at >= PROBE_EVERY:
+        if e and self.probe_credit >= 1 and self.now - e.probed_at >= PROBE_EVERY:
             e.probed_at = self.now
             self.probe_credit -= 1
-        elif e:
-            self.probe_at = min(e.probed_at + PROBE_EVERY, self.now + SWEEP)
             self.planned.append(("probe", e.id))
+        else:
+            self.probe_at = self.now + MILLISECOND
 
     def set_alarm(self):
         """One alarm: the next query to look at, or a sweep while something is held."""
--- a/hillchute/router/__main__.py
+++ b/hillchute/router/__main__.py
@@ -1,4 +1,6 @@
-"""Starts one router: python -m hillchute.router, told what it needs by EDGE_NAME, EDGE_LISTEN and EDGE_CONFIG."""
+"""Starts one router: python -m hillchute.router, told what it needs by EDGE_NAME, EDGE_LISTEN and
+EDGE_CONFIG.
+"""
 
 import sys
 
--- a/hillchute/router/config.py
+++ b/hillchute/router/config.py
@@ -1,7 +1,8 @@
 """The one place where configuration is read, checked and given defaults.
 
-Owns the environment variables, the file that they name and the checks on both; a fault names its key by the full
-path. Must never hold a value that decides anything about a query: those are the module's, or come from the file.
+Owns the environment variables, the file that they name and the checks on both; a fault names its key by
+the full path. Must never hold a value that decides anything about a query: those are the module's, or
+come from the file.
 """
 
 import os
@@ -110,7 +111,7 @@
 
 
 def settings(table: Mapping[str, object]) -> dict[str, object]:
-    """The settings, checked as far as the router itself leans on them; absent ones take the module's defaults."""
+    """The settings, checked as far as the router itself leans on them; the module has defaults for others."""
     nested = get(table, "settings", dict)
     classes = get(nested, "classes", list)
     if not classes:
--- a/hillchute/router/engine_wire.py
+++ b/hillchute/router/engine_wire.py
@@ -1,7 +1,7 @@
 """The sql engines' protocol: commands out, answers in, as lines of words with a counted body.
 
-Owns the spelling of commands and answers, and the form of load reports. Must never do I/O or know what a query is
-for; what can't be read is an Unreadable, after which the connection is of no more use.
+Owns the spelling of commands and answers, and the form of load reports. Must never do I/O or know what a
+query is for; what can't be read is an Unreadable, after which the connection is of no more use.
 """
 
 from typing import NamedTuple
--- a/hillchute/router/lifecycle.py
+++ b/hillchute/router/lifecycle.py
@@ -1,6 +1,7 @@
 """The program's phases from start to exit, as named states of one object.
 
-Owns which phase comes after which and what each accepts. Must never do the work of a phase: that is the service's.
+Owns which phase comes after which and what each accepts. Must never do the work of a phase: that is the
+service's.
 """
 
 from enum import Enum
--- a/hillchute/router/log.py
+++ b/hillchute/router/log.py
@@ -1,7 +1,7 @@
 """The log: one JSON line an event on standard output.
 
-Owns the descriptor and a bounded buffer. Must never block the loop nor fail its caller: what a full pipe does not
-take waits in the buffer, what the buffer does not hold is dropped and counted.
+Owns the descriptor and a bounded buffer. Must never block the loop nor fail its caller: what a full pipe
+does not take waits in the buffer, what the buffer does not hold is dropped and counted.
 """
 
 import os
--- a/hillchute/router/mysql.py
+++ b/hillchute/router/mysql.py
@@ -1,7 +1,7 @@
 """The clients' protocol: one session's packets in, typed commands out, answers as packets.
 
-Owns the MySQL wire of one session: login, sequence numbers, result sets, error packets. Must never do I/O, touch a
-statement or decide what is answered.
+Owns the MySQL wire of one session: login, sequence numbers, result sets, error packets. Must never do
+I/O, touch a statement or decide what is answered.
 """
 
 import struct
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -1,8 +1,10 @@
-"""All state of one router, and the only place that changes it: reduce(event, now) gives the effects it asks for.
+"""All state of one router, and the only place that changes it: reduce(event, now) gives the effects it asks
+for.
 
-Owns the open queries, the submissions and the connections to sql engines as far as they matter to them; drives the
-decision module. Must never read or write, look at a clock, or decide what the module decides: what runs where and
-when, what is deferred or killed, how long a submission may take. Times are whole tenths of a millisecond.
+Owns the open queries, the submissions and the connections to sql engines as far as they matter to them;
+drives the decision module. Must never read or write, look at a clock, or decide what the module decides:
+what runs where and when, what is deferred or killed, how long a submission may take. Times are whole
+tenths of a millisecond.
 """
 
 import traceback
@@ -321,7 +323,7 @@
         return None
 
     def overdue(self, id: str) -> None:
-        """Guards rule 1 against a fault in the decisions: whatever happens, the client gets an answer in time."""
+        """Guards rule 1 against a fault in the decisions: the client gets an answer whatever happens."""
         q = self.queries.get(id)
         if q is not None and not q.answered:
             self.note("fault", what="unanswered at its end", query=q.request.id)
@@ -542,7 +544,7 @@
     # ---- connections ------------------------------------------------------------------------------
 
     def line_for(self, peer: Peer, q: Query | None) -> Line | None:
-        """A connection that can take one more: an open one that is heard, one that is coming up, or a new one.
+        """A connection that can take one more: an open one that is heard, one coming up, or a new one.
 
         Never the one on which an earlier submission of the same query went, so that no answer is taken for
         another's; never one that has fallen silent, since nothing would come of it.
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -1,7 +1,7 @@
 """Sockets, timers and signals: carries out the effects that the reducer asks for and hands it what happens.
 
-Owns the task groups, the streams and the bytes on their way. Must never change the state of a query, an engine or a
-submission, nor decide anything: it turns bytes into events and effects into bytes.
+Owns the task groups, the streams and the bytes on their way. Must never change the state of a query, an
+engine or a submission, nor decide anything: it turns bytes into events and effects into bytes.
 """
 
 import contextlib
--- a/hillchute/router/statement.py
+++ b/hillchute/router/statement.py
@@ -1,7 +1,7 @@
 """Reads a statement: the fields in its leading comment, and the group of tables that it names.
 
-Owns the form of the fields and the scan for table names. Must never change the statement's own text, nor decide
-anything about a query; what can't be read is a Misread that names the field.
+Owns the form of the fields and the scan for table names. Must never change the statement's own text, nor
+decide anything about a query; what can't be read is a Misread that names the field.
 """
 
 import re
@@ -100,8 +100,8 @@
 def table_group(statement: bytes) -> int | None:
     """The number behind the underscore in the schema that the statement reads or writes.
 
-    A name behind FROM, JOIN, INTO and the like goes before any other, since a column may be qualified by an alias
-    that looks like a schema. Schemas without such a number, `staging` among them, don't count.
+    A name behind FROM, JOIN, INTO and the like goes before any other, since a column may be qualified by
+    an alias that looks like a schema. Schemas without such a number, `staging` among them, don't count.
     """
     first: int | None = None
     name: bytes | None = None  # the last name, while nothing but blanks or comments came after it
--- a/tests/test_teamwork.py
+++ b/tests/test_teamwork.py
@@ -147,7 +147,7 @@
 def test_jam_shows_before_its_first_answer_and_keeps_heavy_queries_out(desk):
     for _ in range(4):
         desk.tried(LOOKUP)
-        desk.router.recent.append((0, desk.router.queries[f"q{_}"].legs[0]))
+        desk.router.recent.add(0, desk.router.queries[f"q{_}"].legs[0])
     light, heavy = desk.take(REPORT, now=4000, cost=90), desk.take(REPORT, now=4000, cost=9000)
     assert desk.router.pace() == 4
     assert [desk.router.too_heavy(q) for q in (light, heavy)] == [False, True]
@@ -156,7 +156,7 @@
 def test_few_lost_answers_leave_the_pace(desk):
     for n in range(7):
         q = desk.tried(LOOKUP)
-        desk.router.recent.append((0, q.legs[0]))
+        desk.router.recent.add(0, q.legs[0])
         if n > 2:
             desk.router.outcome(1000, q.id, 0, "finished", True, 1000)
     desk.router.now = 3 * SECOND
@@ -203,7 +203,7 @@
 
 def test_few_slow_submissions_at_a_quiet_router_do_not_give_up_a_query(desk):
     for _ in range(3):
-        desk.router.recent.append((0, desk.tried(LOOKUP).legs[0]))
+        desk.router.recent.add(0, desk.tried(LOOKUP).legs[0])
     desk.router.now = SECOND
     q = desk.take(REPORT, now=SECOND, cost=8000)
     assert desk.router.pace() == 10
