--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -48,7 +48,7 @@
 BACKLOG = 3.0  # pressure when the queue's head has waited all its slack: few start then in time
 STEEP = 3  # at half that pressure eight times the mean still gets in, at twice an eighth of it
 
-WAITING = ("queue", "dash", "behind")  # places of a query that stands in a line here
+WAITING = ("lane", "queue", "dash", "behind")  # places of a query that stands in a line here
 NEVER_RAN = ("saturated", "refused_conn", "superseded")  # endings that prove it
 MAY_STILL_RUN = ("overdue", "severed", "recalled")  # endings after which a key rests
 BROKEN = ("refused_conn", "severed", "errored")  # endings that speak against the engine
@@ -110,9 +110,10 @@
         self.probe_credit = min(self.probe_credit + 1 / QUERIES_A_PROBE, len(self.engines))
         self.look(q, due - self.margin)
         if g.in_order and key is not None:
-            q.place = "lane"
-            self.lanes[key].turn.append(q)
+            q.place, q.line = "lane", self.lanes[key].turn
+            q.line.append(q)
             self.stirred[key] = True
+            self.look(q, self.latest_start(q))
         else:
             self.line_up(q)
 
@@ -434,8 +435,7 @@
         engines = [e for e in self.engines.values() if self.allowed(e, q) and self.now >= e.rest_until]
         if q.group.waits or q.group.is_load:
             engines = self.side(engines, q)
-            free = [e for e in engines if q.tables not in e.holds]
-            engines = free if q.group.is_load else free or engines
+            engines = [e for e in engines if q.tables not in e.holds] or engines * (not q.group.is_load)
         if q.legs:
             engines = [e for e in engines if e.id != q.legs[-1].engine] or engines
         return engines
@@ -458,7 +458,7 @@
     def stands(self, q):
         """The engines for this load, if it would stand still behind one of ours on all of them.
 
-        Guards against engines full of loads that hold memory, stand still and look like a crowd. Acts where the
+        Guards against engines full of loads that hold memory, stand still and look like a crowd. Acts where
         loads of one table group come faster than its engines run them; their order there is their order here.
         """
         engines = self.side([e for e in self.engines.values() if q.group.is_load and self.allowed(e, q)], q)
@@ -516,7 +516,7 @@
         if not self.catalog.get("domain.ranks_heeded", False) or q.legs:
             return
         light = 2 if q.cost <= q.group.usual else 1 if q.cost <= 3 * q.group.usual else 0
-        priority = 3 if q.group.number in self.dashboards else light
+        priority = 3 if q.group.number in self.dashboards or q.group.is_load else light
         self.planned.append(("terms", q.id, 0, priority))
 
     def probe(self):
--- a/hillchute/router/config.py
+++ b/hillchute/router/config.py
@@ -49,6 +49,8 @@
         if not isinstance(value, Mapping):
             raise bad(".".join(path.split(".")[:n]), "not an object")
         value = value.get(part)
+        if value is None:
+            break
     if value is None:
         if default is None:
             raise bad(path, "missing")
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,387 @@
+"""The router's codecs and its reducer, without sockets."""
+
+import struct
+
+import orjson
+import pytest
+from conftest import CATALOG
+
+from hillchute.benchlink.codec import Fields
+from hillchute.decision.interface import Listing
+from hillchute.decision.teamwork import SECOND, Teamwork
+from hillchute.router import config, engine_wire, event_bus, mysql, reducer, statement
+from hillchute.router.engine_wire import Answer, Hurry, NeverMind, Turn, Want
+
+COMMENT = b"/* route=report,trace=9b1f03aa5c7e2d41,patience=1500,weight=820.0,mb=96 */ "
+SELECT = b"SELECT day, count(*), max(note) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day"
+
+
+# ---- statements -----------------------------------------------------------------------------------
+
+
+def test_statement_goes_on_without_its_fields_and_unchanged():
+    request = statement.read(COMMENT + SELECT + b"  ")
+    assert request.statement == SELECT + b"  "
+    assert (request.id, request.group, request.patience) == ("9b1f03aa5c7e2d41", "report", 15_000)
+    assert (request.cost, request.memory, request.tables) == (8200, 96.0, 17)
+
+
+@pytest.mark.parametrize(
+    "fields, named",
+    [
+        ("route=report,patience=5", "trace"),
+        ("route=report,trace=9b1f03aa5c7e2d4,patience=5", "trace"),
+        ("route=report,trace=9b1f03aa5c7e2d41,patience=x", "patience"),
+        ("route=report,trace=9b1f03aa5c7e2d41,patience=nan", "patience"),
+        ("route=report,trace=9b1f03aa5c7e2d41,patience=-1", "patience"),
+        ("route=report,route=lookup,trace=9b1f03aa5c7e2d41,patience=5", "route"),
+        ("route=report,trace=9b1f03aa5c7e2d41,patience=5,weight=", "weight"),
+        ("route=report,trace=9b1f03aa5c7e2d41,patience=5,entity=a b", "entity"),
+    ],
+)
+def test_misread_names_the_field(fields, named):
+    with pytest.raises(statement.Misread, match=named):
+        statement.read(b"/* %s */ SELECT 1" % fields.encode())
+
+
+@pytest.mark.parametrize(
+    "sql, tables",
+    [
+        (b"SELECT 1 FROM sales_17.orders", 17),
+        (b"SELECT 'from x_1.y' FROM `sales_3`.`orders`", 3),
+        (b"SELECT 'it''s \\' a_9.b' /* from c_8.d */ FROM sales_4.orders -- e_7.f", 4),
+        (b"SELECT o_2.day FROM sales_5.orders o_2", 5),
+        (b"INSERT INTO sales_6.orders SELECT * FROM staging.orders", 6),
+        (b"SELECT * FROM staging.x JOIN sales_8 . y", 8),
+        (b"# from a_1.b\nUPDATE sales_9.orders SET note = 'z'", 9),
+        (b"SELECT 1.5 FROM orders", None),
+    ],
+)
+def test_table_group(sql, tables):
+    assert statement.table_group(sql) == tables
+
+
+# ---- clients --------------------------------------------------------------------------------------
+
+
+def packet(number, payload):
+    return len(payload).to_bytes(3, "little") + bytes([number]) + payload
+
+
+def login(user=b"app", database=b"lake", password=b""):
+    flags = 0x8 | 0x200 | 0x8000
+    head = struct.pack("<IIB23x", flags, 1 << 24, 45)
+    return head + user + b"\0" + bytes([len(password)]) + password + database + b"\0"
+
+
+@pytest.fixture
+def session():
+    session = mysql.Session(7)
+    session.greeting()
+    return session
+
+
+def test_login_and_query_come_in_pieces_and_before_the_greeting_is_read(session):
+    data = packet(1, login()) + packet(0, b"\x03" + SELECT)
+    for n in range(len(data)):
+        session.feed(data[n : n + 1])
+    command, out = session.command()
+    assert out == packet(2, mysql.OK)
+    assert command == mysql.Query(SELECT)
+
+
+@pytest.mark.parametrize(
+    "changed, number", [({"user": b"x"}, 1045), ({"password": b"x"}, 1045), ({"database": b"x"}, 1049)]
+)
+def test_wrong_login_is_an_access_error(session, changed, number):
+    session.feed(packet(1, login(**changed)))
+    command, out = session.command()
+    assert command is None and session.over
+    assert struct.unpack_from("<H", out, 5)[0] == number
+
+
+def test_garbage_ends_the_session_with_an_error(session):
+    session.feed(packet(1, b"\xff" * 9))
+    assert session.command()[1][4] == 0xFF and session.over
+
+
+def test_next_command_waits_for_the_answer_of_the_one_before(session):
+    session.feed(packet(1, login()) + packet(0, b"\x0e") + packet(0, b"\x03KILL QUERY 12"))
+    assert session.command()[0] == mysql.Ping()
+    assert session.command()[0] is None
+    assert session.ok() == packet(1, mysql.OK)
+    assert session.command()[0] == mysql.KillQuery(12)
+
+
+@pytest.mark.parametrize("size", [0, 1, 240, 250, 251, 70_000])
+def test_result_set_holds_every_size_of_column(session, size):
+    session.sequence = 1
+    data = session.result([[b"a", b"x" * size, b""]])
+    payloads = []
+    while data:
+        end = 4 + int.from_bytes(data[:3], "little")
+        assert data[3] == len(payloads) + 1
+        payloads.append(data[4:end])
+        data = data[end:]
+    assert payloads[0] == b"\x03" and payloads[4] == payloads[6] == mysql.EOF
+    assert payloads[5] == b"\x01a" + mysql.length(size) + b"x" * size + b"\x00"
+
+
+# ---- engines and the event bus --------------------------------------------------------------------
+
+
+def test_answers_come_in_pieces_and_several_at_once():
+    decoder = engine_wire.Decoder()
+    data = b"q1 ACK parts=2,work=12.5,rep=util:0.5;inflight:7 6\r\na\tb\tc\n\r\nq2 EIO - 0\r\n\r\n"
+    answers = [answer for n in range(len(data)) for answer in decoder.feed(data[n : n + 1])]
+    assert answers == engine_wire.Decoder().feed(data)
+    assert [a.word for a in answers] == ["ACK", "EIO"]
+    assert answers[0].report() == {"util": 0.5, "inflight": 7.0}
+    assert engine_wire.rows(answers[0].body) == [[b"a", b"b", b"c"]]
+
+
+@pytest.mark.parametrize("data", [b"x\r\n", b"q ACK - z\r\n", b"q ACK - 1\r\nabc", b"q" * 5000])
+def test_unreadable_answer_is_said_to_be(data):
+    with pytest.raises(engine_wire.Unreadable):
+        engine_wire.Decoder().feed(data)
+
+
+def test_known_and_frames_give_the_same_listing():
+    endpoint = {"name": "s-00c41f7a", "address": "10.1.0.9:6565", "zone": "west", "type": "big", "group": 2}
+    endpoint |= {"status": "Terminating", "weight": 4, "since_ms": 1234}
+    batch = [{"offset": 41, "topology": {"index": 7, "snapshot": True, "endpoints": [endpoint]}}]
+    (known,) = event_bus.from_json({"batch": batch}, ["east", "west"], ["std", "big"])
+    record = event_bus.RECORD.pack(0xC41F7A, bytes([10, 1, 0, 9]), 6565, 1, 1, 1, 2, 4000, 1234)
+    frame = event_bus.FRAME.pack(9 + len(record), 41, 1) + record
+    decoder = event_bus.Decoder()
+    assert not list(decoder.feed(frame[:20]))
+    assert list(decoder.feed(frame[20:])) == [known]
+
+
+def test_unreadable_frame_is_said_to_be():
+    with pytest.raises(event_bus.Unreadable):
+        list(event_bus.Decoder().feed(event_bus.FRAME.pack(9 + 5, 1, 2)))
+
+
+# ---- configuration --------------------------------------------------------------------------------
+
+KIND = {
+    "name": "a lookup",
+    "goal_time_ns": 150_000,
+    "deadline_ns": 9_000_000,
+    "semantics": "by_key",
+    "worth": 2.5,
+}
+SETTINGS = {
+    "classes": [KIND],
+    "kinds": ["std"],
+    "dcs": ["east"],
+    "domain": {"width_by_class": [1], "kind_cores": [8, 16], "grants": False},
+    "limits": {"connect_timeout_ns": 250_000_000, "keepalive_ns": 30_000_000_000},
+    "parties": [],
+}
+TABLE = {
+    "name": "n1",
+    "listen": "127.0.0.1:6565",
+    "seed": "ff",
+    "bus": "127.0.0.1:8500",
+    "known": {"offset": 0, "batch": []},
+    "settings": SETTINGS,
+}
+
+
+def test_configuration_gives_the_map_that_the_bench_gives():
+    pairs = (
+        "classes.count=1 classes.0.name=a_lookup classes.0.goal_time_ns=150000 classes.0.deadline_ns=9000000"
+    )
+    pairs += " classes.0.semantics=by_key classes.0.worth=2.5 kinds=std dcs=east domain.width_by_class=1"
+    pairs += " domain.kind_cores=8,16 domain.grants=false limits.connect_timeout_ns=250000000"
+    pairs += " limits.keepalive_ns=30000000000 parties="
+    fields = Fields(f"UP 7 {pairs}", 1)
+    fields.integer("init_seed")
+    assert config.station(TABLE, {}).catalog == fields.catalog()
+
+
+@pytest.mark.parametrize(
+    "path, value",
+    [
+        ("listen", "nowhere"),
+        ("seed", "xyz"),
+        ("bus", None),
+        ("limits.sockets", 3),
+        ("known.offset", "1"),
+        ("settings.classes", []),
+        ("settings.limits.keepalive_ns", 0),
+    ],
+)
+def test_faulty_key_is_named_by_its_path(path, value):
+    table = orjson.loads(orjson.dumps(TABLE | {"limits": {}}))
+    *parents, last = path.split(".")
+    place = table
+    for name in parents:
+        place = place[name]
+    place[last] = value
+    with pytest.raises(config.BadConfiguration, match=path.replace(".", r"\.")):
+        config.station(table, {})
+
+
+# ---- the reducer ----------------------------------------------------------------------------------
+
+NAMES = {f"groups.{n}.name": name for n, name in enumerate(["lookup", "report", "load", "write"])}
+LIMITS = {"limits.open_cap": 100, "limits.connect_timeout": 2500, "limits.streams_per_conn": 8}
+
+
+class Rig:
+    """A reducer with engines 1 to 6, and what it has asked for."""
+
+    def __init__(self, **changed):
+        catalog = CATALOG | NAMES | LIMITS | {name.replace("__", "."): v for name, v in changed.items()}
+        self.reducer = reducer.Reducer(Teamwork(7, catalog, 0), catalog, 10)
+        entries = [event_bus.Entry(Listing(e, 0, 0, 0, 0, "Ready", 1.0), "127.0.0.1", e) for e in range(1, 7)]
+        self.do(reducer.Told(event_bus.News(1, "Complete", tuple(entries))))
+
+    def do(self, event, now=0, kind=None):
+        effects = self.reducer.reduce(event, now)
+        return [e for e in effects if kind is None or isinstance(e, kind)]
+
+    def ask(self, group="lookup", id="a" * 16, session=1, now=0, patience=5 * SECOND, **known):
+        request = statement.Request(id, group, patience, b"SELECT 1", 4, cost=1000, **known)
+        return self.do(reducer.Asked(session, request, now), now)
+
+    def sent(self, now=0, **known):
+        """A query whose submission is out; the number of its connection."""
+        (line,) = [e.line for e in self.ask(now=now, **known) if isinstance(e, reducer.Connect)]
+        assert [type(e.command) for e in self.do(reducer.Connected(line), now, reducer.Send)] == [Want]
+        return line
+
+    def say(self, line, word, now=10, id="a" * 16, body=b"", kind=None, **fields):
+        return self.do(reducer.Said(line, Answer(id, word, fields, body)), now, kind)
+
+
+@pytest.fixture
+def rig():
+    return Rig()
+
+
+def test_pages_are_asked_for_at_once_and_put_in_order(rig):
+    line = rig.sent()
+    asked = rig.say(line, "ACK", parts="3", body=b"1\t1\t1\n", kind=reducer.Send)
+    assert [e.command for e in asked] == [Turn("a" * 16, 1), Turn("a" * 16, 2)]
+    assert not rig.say(line, "BLOCK", part_no="2", body=b"3\t3\t3\n", kind=reducer.Finish)
+    (done,) = rig.say(line, "BLOCK", part_no="1", body=b"2\t2\t2\n", kind=reducer.Finish)
+    assert done.rows == [[b"1"] * 3, [b"2"] * 3, [b"3"] * 3]
+    assert not rig.reducer.queries and not rig.reducer.asking
+
+
+def test_result_that_cannot_be_read_is_an_error_and_not_passed_on(rig):
+    line = rig.sent()
+    assert not rig.say(line, "ACK", parts="1", body=b"1\t1\n", kind=reducer.Finish)
+    assert not any(leg.query.answered for one in rig.reducer.lines.values() for leg in one.legs.values())
+
+
+@pytest.mark.parametrize(
+    "event, result",
+    [
+        (lambda line: reducer.Said(line, Answer("a" * 16, "AGAIN", {}, b"")), "saturated"),
+        (lambda line: reducer.Said(line, Answer("a" * 16, "EIO", {}, b"")), "errored"),
+        (lambda line: reducer.Said(line, Answer("a" * 16, "STALE", {}, b"")), "superseded"),
+        (lambda line: reducer.Lost(line, "reset"), "severed"),
+    ],
+)
+def test_endings_are_told_apart(rig, event, result):
+    line = rig.sent()
+    told = []
+    rig.reducer.module.outcome = lambda now, id, leg, result, *rest: told.append(result)
+    rig.do(event(line), 10)
+    assert told == [result]
+
+
+def test_refused_connection_proves_that_nothing_ran_and_another_engine_is_tried(rig):
+    (first,) = [e for e in rig.ask() if isinstance(e, reducer.Connect)]
+    (second,) = rig.do(reducer.NotConnected(first.line), 10, reducer.Connect)
+    assert second.port != first.port
+
+
+def test_second_submission_never_shares_the_connection_of_the_first(rig):
+    line = rig.sent()
+    q = rig.reducer.queries["a" * 16]
+    peer = rig.reducer.peers[q.legs[0].engine]
+    assert rig.reducer.line_for(peer, None).number == line
+    assert rig.reducer.line_for(peer, q).number != line
+
+
+def test_silent_connection_gets_nothing_new(rig):
+    line = rig.sent()
+    peer = rig.reducer.peers[rig.reducer.lines[line].engine]
+    rig.reducer.now = 2 * 2500 + 1
+    assert rig.reducer.line_for(peer, None).number != line
+    rig.say(line, "EVENT", now=2 * 2500 + 2, why="advance", value="0.1")
+    assert rig.reducer.line_for(peer, None).number == line
+
+
+def test_time_out_gives_the_submission_up_and_a_late_answer_is_passed_over(rig):
+    line = rig.sent(patience=SECOND)
+    effects = rig.do(reducer.Tick(), SECOND - rig.reducer.module.margin)
+    assert NeverMind("a" * 16) in [e.command for e in effects if isinstance(e, reducer.Send)]
+    assert [type(e) for e in effects if isinstance(e, reducer.Defer | reducer.Kill)] == [reducer.Defer]
+    assert not rig.say(line, "ACK", now=SECOND, parts="1", kind=reducer.Finish)
+
+
+def test_drain_told_while_a_connection_comes_up_stops_the_send(rig):
+    (wait,) = [e for e in rig.ask() if isinstance(e, reducer.Connect)]
+    engine = rig.reducer.lines[wait.line].engine
+    entry = event_bus.Entry(Listing(engine, 0, 0, 0, 0, "Terminating", 1.0), "127.0.0.1", engine)
+    rig.do(reducer.Told(event_bus.News(2, "Partial", (entry,))), 5)
+    sends = rig.do(reducer.Connected(wait.line), 10, reducer.Send)
+    assert not [e for e in sends if isinstance(e.command, Want)]
+    assert rig.reducer.queries["a" * 16].legs[0].over
+
+
+def test_client_that_leaves_gets_nothing_and_the_answer_is_shut(rig):
+    line = rig.sent()
+    assert not rig.do(reducer.Left(1), 5, reducer.Kill | reducer.Defer)
+    assert not rig.say(line, "ACK", parts="1", kind=reducer.Finish)
+    assert not rig.reducer.queries
+
+
+def test_priority_changed_on_running_work_goes_to_its_engine(rig):
+    line = rig.sent()
+    rig.reducer.effects = []
+    rig.reducer.set_rank(rig.reducer.queries["a" * 16], 3)
+    assert rig.reducer.effects == [reducer.Send(line, Hurry("a" * 16, 3))]
+
+
+@pytest.mark.parametrize(
+    "known, named",
+    [({"group": "x"}, "route"), ({"group": "load"}, "nonce"), ({"group": "load", "token": "t"}, "entity")],
+)
+def test_query_that_does_not_fit_is_answered_with_its_field(rig, known, named):
+    (answer,) = [e for e in rig.ask(**known) if isinstance(e, reducer.Kill)]
+    assert named in answer.why
+    assert not rig.reducer.queries
+
+
+def test_fault_in_the_decisions_leaves_no_query_unanswered(rig):
+    rig.reducer.module.decide = lambda now: 1 / 0
+    notes = [e for e in rig.ask(patience=SECOND) if isinstance(e, reducer.Note)]
+    assert "ZeroDivisionError" in notes[0].fields["trace"]
+    assert [type(e) for e in rig.do(reducer.Tick(), SECOND, reducer.Kill)] == [reducer.Kill]
+
+
+def test_late_loop_takes_its_lag_off_the_end(rig):
+    rig.do(reducer.Tick(400), 0)
+    rig.ask(patience=SECOND)
+    assert rig.reducer.queries["a" * 16].due == SECOND - 400
+
+
+def test_closing_answers_everything_by_its_end(rig):
+    rig.sent(patience=9 * SECOND)
+    rig.do(reducer.Closing(2 * SECOND), SECOND)
+    done = rig.do(reducer.Tick(), 2 * SECOND - rig.reducer.module.margin, reducer.Defer)
+    assert [e.session for e in done] == [1]
+
+
+def test_connections_to_engines_are_bounded():
+    rig = Rig()
+    rig.reducer.most_lines = 0
+    assert not [e for e in rig.ask() if isinstance(e, reducer.Connect)]
--- a/tests/test_teamwork.py
+++ b/tests/test_teamwork.py
@@ -208,3 +208,54 @@
     q = desk.take(REPORT, now=SECOND, cost=8000)
     assert desk.router.pace() == 10
     assert desk.router.latest_start(q) > SECOND
+
+
+def test_load_that_would_stand_still_waits_in_line_and_holds_up_nobody(desk):
+    desk.list(1, 2, 3, 4)
+    first, second, report = desk.take(LOAD, tables=4), desk.take(LOAD, tables=4), desk.take(REPORT, tables=5)
+    for e in desk.router.side(list(desk.router.engines.values()), first):
+        e.holds.append(4)
+    said = desk.verbs()
+    assert engines_of(said, report) and not engines_of(said, first, second)
+    assert list(desk.router.behind[4]) == [first, second]
+
+
+def test_load_starts_when_the_one_before_it_ends(desk):
+    desk.list(1, 2, 3, 4)
+    loads = [desk.take(LOAD, tables=4) for _ in range(3)]
+    out = [q for q in loads if engines_of(desk.verbs(), q) or q.legs]
+    assert len(out) == 1 and len(desk.router.behind[4]) == 2
+    desk.router.outcome(100, out[0].id, 0, "finished", True, 100)
+    assert engines_of(desk.verbs(100), *loads)
+
+
+def test_load_that_can_not_start_in_time_behind_others_is_answered_at_once(desk):
+    desk.list(1, 2, 3, 4)
+    loads = [desk.take(LOAD, tables=4, cost=2 * SECOND, due=60 * SECOND) for _ in range(9)]
+    deferred = [d[1] for d in desk.verbs() if d[0] == "defer"]
+    assert loads[-1].id in deferred and loads[0].id not in deferred
+
+
+def test_few_routers_keep_their_loads_of_a_table_group_apart(make_desk):
+    homes = set()
+    for me in range(2):
+        desk = make_desk(me=me)
+        desk.list(1, 2, 3, 4)
+        (e,) = desk.router.side(list(desk.router.engines.values()), desk.take(LOAD, tables=4))
+        homes.add(e.id)
+    assert len(homes) == 2
+
+
+def test_load_whose_turn_by_key_comes_too_late_is_answered_before_its_end(desk):
+    desk.take(LOAD, key="k", due=60 * SECOND)
+    late = desk.take(LOAD, key="k", due=60 * SECOND)
+    desk.verbs()
+    assert ("defer", late.id) in [d[:2] for d in desk.verbs(desk.router.latest_start(late) + 1)]
+    assert late not in desk.router.lanes["k"].turn
+
+
+def test_closing_brings_every_end_forward(desk):
+    q = desk.take(REPORT, due=60 * SECOND)
+    desk.verbs()
+    desk.router.closing(0, SECOND)
+    assert ("defer", q.id) in [d[:2] for d in desk.verbs(SECOND - desk.router.margin)]
