A writer woken for nothing keeps the bytes that it owes

Checked: the end was reckoned from the kernel's arrival time, timers were 3 ms late at most, no session was killed. Left: Pipe.drain took BlockingIOError for a broken connection and dropped the rest of the answer. Also sockets were closed under a waiting writer, whose number the next connection may get.

--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -71,8 +71,9 @@
         try:
             while self.left:
                 await anyio.wait_writable(self.sock)
-                del self.left[: self.sock.send(self.left)]
-        except (*GONE, ValueError):
+                with contextlib.suppress(BlockingIOError):  # woken for nothing: the bytes are still owed
+                    del self.left[: self.sock.send(self.left)]
+        except GONE:
             self.left.clear()
         finally:
             self.draining = False
@@ -88,6 +89,12 @@
                 break
         return b""
 
+    def close(self) -> None:
+        """Wakes whoever waits on the socket first: its number may be another connection's a moment later."""
+        if self.sock.fileno() >= 0:
+            anyio.notify_closing(self.sock)
+            self.sock.close()
+
 
 class Client:
     def __init__(self, number: int, pipe: Pipe) -> None:
@@ -277,7 +284,7 @@
     async def client(self, sock: socket.socket, number: int) -> None:
         pipe = Pipe(sock)
         client = Client(number, pipe)
-        with sock:
+        with contextlib.closing(pipe):
             if len(self.clients) >= self.most_sessions:
                 pipe.put(client.session.close(mysql.REFUSED, "too many sessions"), self.tasks)
                 return
@@ -348,7 +355,7 @@
             why = "closed"
             link.pipe = Pipe(sock)
             try:
-                with sock:
+                with contextlib.closing(link.pipe):
                     self.handle(reducer.Connected(number))
                     why = await self.hear_engine(link.pipe, number)
             finally:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -2,6 +2,7 @@
 
 import struct
 
+import anyio
 import orjson
 import pytest
 from conftest import CATALOG
@@ -9,7 +10,7 @@
 from hillchute.benchlink.codec import Fields
 from hillchute.decision.interface import Listing
 from hillchute.decision.teamwork import SECOND, Teamwork
-from hillchute.router import config, engine_wire, event_bus, mysql, reducer, statement
+from hillchute.router import config, engine_wire, event_bus, mysql, reducer, service, statement
 from hillchute.router.engine_wire import Answer, Hurry, NeverMind, Turn, Want
 
 COMMENT = b"/* route=report,trace=9b1f03aa5c7e2d41,patience=1500,weight=820.0,mb=96 */ "
@@ -385,3 +386,35 @@
     rig = Rig()
     rig.reducer.most_lines = 0
     assert not [e for e in rig.ask() if isinstance(e, reducer.Connect)]
+
+
+# ---- sockets --------------------------------------------------------------------------------------
+
+
+class Fickle:
+    """A socket that is full, then wakes its writer for nothing, then takes a few bytes at a time."""
+
+    def __init__(self):
+        self.turns = iter([None, None, 3])
+        self.taken = b""
+
+    def send(self, data):
+        size = next(self.turns, len(data))
+        if size is None:
+            raise BlockingIOError
+        self.taken += bytes(data[:size])
+        return min(size, len(data))
+
+
+def test_bytes_that_a_full_socket_does_not_take_are_still_owed(monkeypatch):
+    async def ready(sock):
+        pass
+
+    async def write():
+        async with anyio.create_task_group() as tasks:
+            pipe.put(b"an answer", tasks)
+
+    pipe = service.Pipe(Fickle())
+    monkeypatch.setattr(service.anyio, "wait_writable", ready)
+    anyio.run(write)
+    assert pipe.sock.taken == b"an answer" and not pipe.left
