When sessions run short, queries that hold one long for their value are deferred first

Now the front tells how many sessions clients may hold, and with under a fifth of them free what took long for its value is deferred.

--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -32,6 +32,7 @@
     kinds: frozenset[int] | None
     scale: float = 1.0  # true cost over estimated cost
     usual: float = 0.0  # mean estimated work, in core time
+    took: float = 0.0  # mean time of those that finished
 
     @classmethod
     def read(cls, catalog: Catalog, n: int) -> "ResourceGroup":
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -46,6 +46,10 @@
 FULL = 10.0  # times alone that a refusal as full counts as: more than any target leaves room for
 EASE = 2.4  # times alone, or threads a core, at which all heavier than the mean are kept out: past every knee
 BACKLOG = 3.0  # pressure when the queue's head has waited all its slack: few start then in time
+SPARE = 0.2  # share of the sessions: with fewer free, those waited for count more than those held
+DEAR = (
+    2.0  # times the mean time for its value, over one, that a query may hold a session then, less as they end
+)
 STEEP = 3  # at half that pressure eight times the mean still gets in, at twice an eighth of it
 
 WAITING = ("lane", "queue", "dash", "behind")  # places of a query that stands in a line here
@@ -74,7 +78,8 @@
         self.taken, self.extras, self.planned = Traffic(), deque(), deque()
         self.probe_credit, self.probe_at = len(self.groups), 0
         self.probes = catalog.get("report.via") == "probe" and catalog.get("limits.probes", False)
-        self.price = self.work = self.span = 0.0  # mean work a value; core time submitted, and time alone
+        self.price = self.dear = 0.0  # mean work for a value of one, as asked; and mean time that it took
+        self.work = self.span = 0.0  # core time of all submissions, and their time alone
         self.held, self.mine = None, 0.0  # mean threads: a core's as reported, our own on an engine then
         self.recent = Sample()  # submissions of late
         self.counted = "inflight" in catalog.get("report.columns", ())  # whether reports count queries held
@@ -159,6 +164,8 @@
             e.pressed_until = self.now + PRESSED
         if result == "finished":
             e.fails = 0
+            q.group.took += SMOOTH * (elapsed - q.group.took)
+            self.dear += SMOOTH * (elapsed / q.group.value - self.dear)
             if cost:
                 q.group.scale += SMOOTH * (min(5.0, max(0.2, cost / q.cost)) - q.group.scale)
         elif result in BROKEN:
@@ -248,9 +255,8 @@
 
     def may_defer(self, q):
         """Rule 2: a deferral tells the client that trying again is harmless."""
-        if q.group.effect == "read-only" or (q.ran is None and not q.out):
-            return True
-        return q.group.effect == "tokened" and q.group.repeats == "all"
+        safe = q.group.effect == "read-only" or (q.ran is None and not q.out)
+        return safe or (q.group.effect == "tokened" and q.group.repeats == "all")
 
     def allowed(self, e, q):
         """Rules 2, 3, 4, 6 and 7: may this query go to this engine now, whatever the load?"""
@@ -277,8 +283,6 @@
         budget = self.catalog.get("guarantees.cold_from", 0) * e.cores * span / self.routers
         return sum(w for _, w in e.cold) + work <= budget
 
-    # ---- the engines --------------------------------------------------------------------------------
-
     def since(self, e):
         return e.since(max(e.reported_at - LAG, self.now - PRESSED))
 
@@ -294,11 +298,7 @@
         return threads + (mean if e.reported is None else mean + (e.reported - mean) * known)
 
     def crowd(self, e):
-        """Threads of all routers on the engine: as reported, or by what this router has out there.
-
-        Guards against an engine that stalls between two reports: what is out grows at once. The others count
-        by this router's part where reports tell it, else as alike; for less where the part is mostly chance.
-        """
+        """Threads of all routers there: as reported or, if it stalls between two reports, by what is out."""
         part = self.held * e.cores / self.mine if self.counted and self.mine else self.routers
         others = (min(self.routers, part) - 1) * (self.mine / (self.mine + FEW) if self.mine else 1)
         return max(self.load(e), e.threads * (1 + max(0.0, others)))
@@ -347,7 +347,11 @@
         pressure = max(pace, self.held or 0, BACKLOG * self.waited(line[0]) if line else 0)
         pressure *= OVER if self.over_share(q.tenant) else 1
         heavy = q.cost / (q.group.usual * q.group.value * self.price) ** 0.5
-        return heavy > (EASE / pressure) ** STEEP
+        # Guards against long queries of little value that hold a session while clients of short ones stand
+        # outside. Acts where the front tells how many sessions there may be.
+        free = 1 - len(self.queries) / (self.catalog.get("sessions") or 10**9)
+        dear = q.group.took * q.cost / q.group.usual / q.group.value > self.dear * (1 + DEAR * free / SPARE)
+        return heavy > (EASE / pressure) ** STEEP or (free < SPARE and dear)
 
     def waited(self, q):
         """The share of its slack that a query has waited."""
@@ -389,21 +393,16 @@
             if self.now >= q.due - self.margin:
                 self.give_up(q)
             elif q.place == "again":
-                if self.may_run_again(q) and self.now + self.expected(q) < q.due:
-                    self.line_up(q, front=True)
-                else:
-                    self.give_up(q)
+                again = self.may_run_again(q) and self.now + self.expected(q) < q.due
+                self.line_up(q, front=True) if again else self.give_up(q)
             elif q.place in WAITING and (self.now >= self.latest_start(q) or self.too_heavy(q)):
                 self.give_up(q)
 
     def give_up(self, q):
         if q.out and self.catalog.get("limits.cancel", False):
             self.planned.append(("cancel", q.id, len(q.legs) - 1))
-        if self.may_defer(q):
-            after = self.catalog.get("limits.retry_after") and self.catalog.get("limits.max_retry_after") or 0
-            self.planned.append(("defer", q.id, after))
-        else:
-            self.planned.append(("kill", q.id))
+        after = self.catalog.get("limits.retry_after") and self.catalog.get("limits.max_retry_after") or 0
+        self.planned.append(("defer", q.id, after) if self.may_defer(q) else ("kill", q.id))
         self.end(q)
 
     def lanes_move(self):
@@ -526,8 +525,7 @@
         ready = [e for e in self.engines.values() if e.ready and self.now >= e.rest_until]
         e = min(ready, key=lambda e: e.probed_at, default=None)
         if e and self.probe_credit >= 1 and self.now - e.probed_at >= PROBE_EVERY:
-            e.probed_at = self.now
-            self.probe_credit -= 1
+            e.probed_at, self.probe_credit = self.now, self.probe_credit - 1
             self.planned.append(("probe", e.id))
         else:
             self.probe_at = self.now + MILLISECOND
--- a/hillchute/router/config.py
+++ b/hillchute/router/config.py
@@ -97,6 +97,7 @@
     except ValueError:
         raise bad("seed", f"not a hexadecimal number: {seed[:40]!r}") from None
     offset, known = events(table)
+    catalog["sessions"] = sockets // 3  # the protocol: clients hold a third of the descriptors at most
     longest = max(catalog.get(f"groups.{n}.queue_timeout", 0) for n in range(catalog["groups.count"]))
     return Station(
         name=environ.get("EDGE_NAME") or get(table, "name", str),
--- a/tests/test_teamwork.py
+++ b/tests/test_teamwork.py
@@ -259,3 +259,14 @@
     desk.verbs()
     desk.router.closing(0, SECOND)
     assert ("defer", q.id) in [d[:2] for d in desk.verbs(SECOND - desk.router.margin)]
+
+
+def test_query_that_holds_a_session_long_for_its_value_is_kept_out_when_sessions_run_short(make_desk):
+    desk = make_desk(sessions=10)
+    lookup, load = desk.take(LOOKUP), desk.take(LOAD)
+    desk.router.dear = lookup.group.took = 2000
+    load.group.took = 40_000
+    assert not desk.router.too_heavy(load)
+    for _ in range(7):
+        desk.take(LOOKUP)
+    assert [desk.router.too_heavy(q) for q in (lookup, load)] == [False, True]
