Pauses of the loop are seen by whichever event comes first, and a tenth of a second is always allowed for

Cause of the wrong figure: ring() compared the clock with the alarm, but any event after a pause takes the due timers and sets a later alarm, so that pauses went unseen and nothing was taken off the ends. Lateness is now read where timers are taken. The net under the module stood at the same moment as the module's own answer; it stands behind it now. Session numbers go on from the clock, so that a KILL QUERY from before a restart names nobody.

--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -20,7 +20,8 @@
 from hillchute.router.statement import Request
 
 COUNT_EVERY = 10_000  # tenths of a millisecond between two lines of the log that count the answers
-KEEP = 0.995  # of the latest lateness at each timer: it fades over some hundred of them
+LEAST_LATE: Time = 1000  # a tenth of a second: a loaded loop pauses so long without having been seen to
+FADES = 100  # a pause that was longer is forgotten at a hundredth of the time that passes
 
 # ---- events ---------------------------------------------------------------------------------------
 
@@ -64,9 +65,7 @@
 
 
 class Tick(NamedTuple):
-    """The time that an Alarm named has come, so much late."""
-
-    late: Time = 0
+    """The time that an Alarm named has come."""
 
 
 class Closing(NamedTuple):
@@ -205,7 +204,8 @@
         self.alarm: Time | None = None
         self.effects: list[Effect] = []
         self.informed = False  # whether the module was told anything in this round
-        self.late = 0.0  # how late timers have come of late: an answer may need as long to get out
+        self.late: Time = LEAST_LATE  # how late timers come: an answer may need as long to get out
+        self.late_at: Time = 0
         self.counts: dict[tuple[str, str], list[float]] = {}  # answers since the last line in the log
         self.counted_at: Time = 0
         self.takes: dict[type, Callable[..., None]] = {
@@ -225,6 +225,10 @@
         self.now = now
         self.effects = []
         self.informed = not isinstance(event, Said)
+        if self.due and self.due[0][0] <= now:
+            # Whatever event comes first after a pause finds the timers late, not only the one that rings.
+            self.late = max(now - self.due[0][0], LEAST_LATE, self.late - (now - self.late_at) // FADES)
+            self.late_at = now
         self.takes[type(event)](*event)
         while self.due and self.due[0][0] <= now:
             _, _, call, names = heappop(self.due)
@@ -282,8 +286,8 @@
 
     # ---- queries ----------------------------------------------------------------------------------
 
-    def tick_came(self, late: Time) -> None:
-        self.late = max(late, self.late * KEEP)
+    def tick_came(self) -> None:
+        """The timers that are due are looked at with every event."""
 
     def take(self, session: int, request: Request, since: Time) -> None:
         fault = self.misfit(session, request)
@@ -295,7 +299,7 @@
             self.effects.append(Defer(session, 0))
             return
         # Guards rule 1 on a loaded machine: bytes are read and answers written as late as timers come.
-        due = since + request.patience - min(int(self.late), request.patience // 2)
+        due = since + request.patience - min(self.late, request.patience // 4)
         if self.end is not None:
             due = min(due, self.end)
         q = Query(request, session, since, due)
@@ -305,7 +309,7 @@
         self.module.take(
             self.now, request.id, group, due, request.tables, 0, request.cost, request.memory, key
         )
-        self.at(due, self.overdue, request.id)
+        self.at(max(due, since + request.patience - LEAST_LATE // 2), self.overdue, request.id)
 
     def misfit(self, session: int, request: Request) -> str | None:
         """Why this request can't be a query here."""
@@ -378,7 +382,7 @@
         self.module.closing(self.now, end)
         for q in list(self.asking.values()):
             q.due = min(q.due, end)
-            self.at(q.due, self.overdue, q.request.id)
+            self.at(q.due + LEAST_LATE, self.overdue, q.request.id)
 
     # ---- submissions ------------------------------------------------------------------------------
 
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -145,7 +145,8 @@
         self.reducer = reducer.Reducer(module, station.catalog, station.sockets // 3)
         self.clients: dict[int, Client] = {}
         self.links: dict[int, Link] = {}
-        self.sessions = 0
+        # Numbers of sessions go on from the clock: a client may still name one from before a restart.
+        self.sessions = time.time_ns() // 1_000_000 % 2**31
         self.alarm: int | None = None
         self.alarm_set = anyio.Event()
         self.tasks: anyio.abc.TaskGroup
@@ -255,7 +256,7 @@
                 if late > LAG * SECOND:
                     self.log.write("lag", ms=late / 10)
                 self.alarm = None
-                self.handle(reducer.Tick(late))
+                self.handle(reducer.Tick())
             self.log.flush()
 
     # ---- clients ----------------------------------------------------------------------------------
