--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -46,10 +46,8 @@
 FULL = 10.0  # times alone that a refusal as full counts as: more than any target leaves room for
 EASE = 2.4  # times alone, or threads a core, at which all heavier than the mean are kept out: past every knee
 BACKLOG = 3.0  # pressure when the queue's head has waited all its slack: few start then in time
-SPARE = 0.2  # share of the sessions: with fewer free, those waited for count more than those held
-DEAR = (
-    2.0  # times the mean time for its value, over one, that a query may hold a session then, less as they end
-)
+SPARE = 0.2  # share of the sessions: with fewer free, those who wait outside count more than those inside
+DEAR = 2.0  # times the mean time for its value, over one, that a query may hold one then; less as they end
 STEEP = 3  # at half that pressure eight times the mean still gets in, at twice an eighth of it
 
 WAITING = ("lane", "queue", "dash", "behind")  # places of a query that stands in a line here
