Read once more: unused names gone, one way to forget a connection

drop() repeated the two lines of forget_line() and calls it now. Nobody read Line.opened, Lifecycle.takes_queries, MEMORY_MB or PLUGIN. stands() ran side() over an empty list for every head of the queue that is no load; it returns first.

--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -458,7 +458,9 @@
         Guards against engines full of loads that hold memory, stand still and look like a crowd. Acts where
         loads of one table group come faster than its engines run them; their order there is their order here.
         """
-        engines = self.side([e for e in self.engines.values() if q.group.is_load and self.allowed(e, q)], q)
+        if not q.group.is_load:
+            return []
+        engines = self.side([e for e in self.engines.values() if self.allowed(e, q)], q)
         return engines if all(q.tables in e.holds for e in engines) else []
 
     def send_team(self):
--- a/hillchute/router/config.py
+++ b/hillchute/router/config.py
@@ -16,7 +16,7 @@
 
 SECOND = 10_000  # tenths of a millisecond
 CLOSING = 3 * SECOND  # the protocol: a planned restart leaves the longest deadline, but no more than this
-SOCKETS, MEMORY_MB = 1024, 192  # where the file states no limits: the least that any deployment gives
+SOCKETS = 1024  # where the file states no limit: the least that any deployment gives
 
 
 class BadConfiguration(Exception):
--- a/hillchute/router/lifecycle.py
+++ b/hillchute/router/lifecycle.py
@@ -44,10 +44,6 @@
         self.changed = anyio.Event()
         return True
 
-    @property
-    def takes_queries(self) -> bool:
-        return self.phase in (Phase.SERVING, Phase.CLOSING)
-
     async def reach(self, phase: Phase) -> None:
         while self.phase is not phase:
             await self.changed.wait()
--- a/hillchute/router/mysql.py
+++ b/hillchute/router/mysql.py
@@ -17,7 +17,7 @@
 # Capabilities: long password, found rows, long flag, connect with a database, protocol 4.1, transactions,
 # secure connection, plugin authentication and length-encoded authentication data.
 CAPABILITIES = 0x1 | 0x2 | 0x4 | 0x8 | 0x200 | 0x2000 | 0x8000 | 0x80000 | 0x200000
-WITH_DATABASE, SECURE, PLUGIN, LENGTH_ENCODED = 0x8, 0x8000, 0x80000, 0x200000
+WITH_DATABASE, SECURE, LENGTH_ENCODED = 0x8, 0x8000, 0x200000
 PROTOCOL_41 = 0x200
 UTF8 = 45
 AUTOCOMMIT = 2
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -158,7 +158,6 @@
 
     number: int
     engine: int
-    opened: Time
     up: bool = False
     heard: Time = 0
     used: Time = 0
@@ -198,9 +197,8 @@
         self.peers: dict[int, Peer] = {}
         self.lines: dict[int, Line] = {}
         self.count = 0
-        self.due: list[
-            tuple[Time, int, Callable[..., None], tuple]
-        ] = []  # names, not what they hold: it may end
+        # Timers hold names, not the queries that they name: those may end long before.
+        self.due: list[tuple[Time, int, Callable[..., None], tuple]] = []
         self.alarm: Time | None = None
         self.effects: list[Effect] = []
         self.informed = False  # whether the module was told anything in this round
@@ -576,7 +574,7 @@
             self.note("fault", what="too many connections to engines", open=len(self.lines))
             return None
         self.count += 1
-        line = Line(self.count, peer.engine, self.now, used=self.now)
+        line = Line(self.count, peer.engine, used=self.now)
         self.lines[line.number] = peer.lines[line.number] = line
         self.effects.append(Connect(line.number, peer.host, peer.port))
         return line
@@ -606,8 +604,7 @@
             self.at(max(line.used, self.now) + self.keepalive // 2, self.rest, line)
 
     def drop(self, line: Line) -> None:
-        self.lines.pop(line.number, None)
-        self.peers[line.engine].lines.pop(line.number, None)
+        self.forget_line(line)
         self.effects.append(HangUp(line.number))
 
     def not_connected(self, number: int) -> None:
