SIGHUP reads the configuration again and moves the event bus; signals wait for the start

Checked: no handler for SIGHUP in watch_signals(), follow_bus() bound to the address of the start. Ruled out: SIGTERM, which was handled. Now: Phase.RELOADING; config.read() again, a faulty file is logged with its key and changes nothing; other changes are named as needing a restart; the bus is followed at the new address from the last number, the old one left once the new one is up.

--- a/hillchute/router/__main__.py
+++ b/hillchute/router/__main__.py
@@ -2,6 +2,7 @@
 EDGE_CONFIG.
 """
 
+import signal
 import sys
 
 import anyio
@@ -9,7 +10,7 @@
 from hillchute.router import config
 from hillchute.router.lifecycle import Lifecycle
 from hillchute.router.log import Log
-from hillchute.router.service import Service
+from hillchute.router.service import SIGNALS, Service
 
 
 async def serve(station: config.Station) -> None:
@@ -20,6 +21,8 @@
 
 
 def main() -> int:
+    # A signal that comes during the start waits until there is somebody to heed it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     try:
         station = config.read()
     except config.BadConfiguration as fault:
--- a/hillchute/router/config.py
+++ b/hillchute/router/config.py
@@ -113,6 +113,17 @@
     )
 
 
+def needs_restart(running: Station, read_again: Station) -> list[str]:
+    """What a configuration read again changes beside the event bus; that can't be moved under load."""
+    keys = [
+        key
+        for key in ("name", "host", "port", "seed", "sockets")
+        if getattr(running, key) != getattr(read_again, key)
+    ]
+    names = {*running.catalog, *read_again.catalog}
+    return keys + sorted(key for key in names if running.catalog.get(key) != read_again.catalog.get(key))
+
+
 def settings(table: Mapping[str, object]) -> dict[str, object]:
     """The settings, checked as far as the router itself leans on them; the module has defaults for others."""
     nested = get(table, "settings", dict)
--- a/hillchute/router/lifecycle.py
+++ b/hillchute/router/lifecycle.py
@@ -14,6 +14,7 @@
 class Phase(Enum):
     STARTING = "starting"  # reads its configuration; no client is heard
     SERVING = "serving"  # takes sessions and queries
+    RELOADING = "reloading"  # reads its configuration again; all else goes on as it was
     CLOSING = "closing"  # asked to end: still takes what comes, all is answered by a stated time
     FLUSHING = "flushing"  # takes nothing new; the last answers are written
     STOPPED = "stopped"
@@ -21,7 +22,8 @@
 
 FOLLOWS = {
     Phase.STARTING: (Phase.SERVING, Phase.STOPPED),
-    Phase.SERVING: (Phase.CLOSING,),
+    Phase.SERVING: (Phase.RELOADING, Phase.CLOSING),
+    Phase.RELOADING: (Phase.SERVING,),
     Phase.CLOSING: (Phase.FLUSHING,),
     Phase.FLUSHING: (Phase.STOPPED,),
     Phase.STOPPED: (),
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -191,6 +191,7 @@
         self.ordered = {n for n in self.groups.values() if catalog.get(f"groups.{n}.keep_order")}
         self.most_lines = most_lines
         self.now: Time = 0
+        self.told_to = 0  # number of the last event of the list of engines
         self.end: Time | None = None
         self.queries: dict[str, Query] = {}
         self.asking: dict[int, Query] = {}  # by session, while unanswered
@@ -636,8 +637,9 @@
     # ---- the list of engines ----------------------------------------------------------------------
 
     def told(self, news: event_bus.News) -> None:
-        if news.mode == "Nothing":
-            return
+        if news.mode == "Nothing" or news.number <= self.told_to:
+            return  # an event bus may write an event again; an older list must not come back
+        self.told_to = news.number
         listed = {entry.listing.engine: entry for entry in news.entries}
         for engine, entry in listed.items():
             ready = entry.listing.state == "Ready"
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -19,7 +19,7 @@
 
 from hillchute.catalog import up
 from hillchute.decision.teamwork import Teamwork
-from hillchute.router import engine_wire, event_bus, mysql, reducer, statement
+from hillchute.router import config, engine_wire, event_bus, mysql, reducer, statement
 from hillchute.router.config import SECOND, Station
 from hillchute.router.lifecycle import Lifecycle, Phase
 from hillchute.router.log import Log
@@ -32,6 +32,7 @@
 COLLECT = (10_000, 10, 10)  # objects made before a collection: the usual 700 are a few queries only
 LAG = 0.05  # seconds that a timer may come late before it is logged
 LAST_DATA = struct.Struct("=I")  # tcpi_last_data_recv, at byte 52 of Linux's tcp_info
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 GONE = (anyio.EndOfStream, anyio.ClosedResourceError, anyio.BrokenResourceError, OSError)
 
 
@@ -147,6 +148,7 @@
         self.links: dict[int, Link] = {}
         # Numbers of sessions go on from the clock: a client may still name one from before a restart.
         self.sessions = time.time_ns() // 1_000_000 % 2**31
+        self.followers: list[anyio.CancelScope] = []  # of the event bus, the newest last
         self.alarm: int | None = None
         self.alarm_set = anyio.Event()
         self.tasks: anyio.abc.TaskGroup
@@ -214,7 +216,7 @@
             listener.setblocking(False)
             self.tasks.start_soon(self.watch_signals)
             self.tasks.start_soon(self.ring)
-            self.tasks.start_soon(self.follow_bus)
+            self.move_bus()
             self.tasks.start_soon(self.accept, listener)
             gc.collect()
             gc.freeze()  # what the start has made lives to the end: no later collection need look at it
@@ -239,10 +241,29 @@
             await anyio.sleep(0.05)
 
     async def watch_signals(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        with anyio.open_signal_receiver(*SIGNALS) as signals:
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
             async for number in signals:
                 self.log.write("signal", number=int(number))
-                self.lifecycle.enter(Phase.CLOSING)
+                if number != signal.SIGHUP:
+                    self.lifecycle.enter(Phase.CLOSING)
+                elif self.lifecycle.enter(Phase.RELOADING):
+                    self.reload()
+                    self.lifecycle.enter(Phase.SERVING)
+
+    def reload(self) -> None:
+        """A new configuration under load. One that can't be read changes nothing."""
+        try:
+            station = config.read()
+        except config.BadConfiguration as fault:
+            self.log.write("reload", kept="the running configuration", why=str(fault))
+            return
+        restart = config.needs_restart(self.station, station)
+        self.log.write("reload", bus=list(station.bus), needs_restart=restart)
+        self.station = self.station._replace(bus=station.bus)
+        for news in station.known:
+            self.handle(reducer.Told(news))
+        self.move_bus()
 
     async def ring(self) -> None:
         """Tells the reducer when the time of its alarm has come, and the log when the loop stood still."""
@@ -375,21 +396,38 @@
 
     # ---- the event bus ----------------------------------------------------------------------------
 
-    async def follow_bus(self) -> None:
-        last = self.station.offset
-        while True:
-            try:
+    def move_bus(self) -> None:
+        """Follows the event bus at its address of now. Whoever followed it elsewhere is left once this one
+        is up: until then an old event bus may still tell something."""
+        scope = anyio.CancelScope()
+        self.followers.append(scope)
+        self.tasks.start_soon(self.follow_bus, self.station.bus, scope)
+
+    async def follow_bus(self, address: tuple[str, int], scope: anyio.CancelScope) -> None:
+        with scope:
+            while scope in self.followers:
+                try:
+                    await self.hear_bus(address, scope)
+                except (*GONE, TimeoutError, event_bus.Unreadable) as fault:
+                    why = str(fault) or type(fault).__name__
+                    self.log.write("bus_lost", why=why, last=self.reducer.told_to)
+                if scope is not self.followers[-1]:
+                    self.followers.remove(scope)  # the event bus has moved: nothing more is told here
+                    return
+                await anyio.sleep(BUS_RETRY)
+
+    async def hear_bus(self, address: tuple[str, int], scope: anyio.CancelScope) -> None:
+        with anyio.fail_after(BUS_SILENCE):
+            stream = await anyio.connect_tcp(*address)
+        async with stream:
+            decoder = event_bus.Decoder()
+            await stream.send(event_bus.subscribe(max(self.reducer.told_to, self.station.offset)))
+            while scope is not self.followers[0]:
+                self.followers.pop(0).cancel()
+            while True:
+                # Whole frames count, not bytes: those of later frames could feed one that never ends.
                 with anyio.fail_after(BUS_SILENCE):
-                    stream = await anyio.connect_tcp(*self.station.bus)
-                async with stream:
-                    decoder = event_bus.Decoder()
-                    await stream.send(event_bus.subscribe(last))
-                    while True:
-                        with anyio.fail_after(BUS_SILENCE):
-                            data = await stream.receive(READ)
-                        for news in decoder.feed(data):
-                            last = max(last, news.number)
-                            self.handle(reducer.Told(news))
-            except (*GONE, TimeoutError, event_bus.Unreadable) as fault:
-                self.log.write("bus_lost", why=str(fault) or type(fault).__name__, last=last)
-            await anyio.sleep(BUS_RETRY)
+                    while not (told := list(decoder.feed(await stream.receive(READ)))):
+                        pass
+                for news in told:
+                    self.handle(reducer.Told(news))
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -1,5 +1,7 @@
 """The router's codecs and its reducer, without sockets."""
 
+import signal
+import socket
 import struct
 
 import anyio
@@ -12,6 +14,8 @@
 from hillchute.decision.teamwork import SECOND, Teamwork
 from hillchute.router import config, engine_wire, event_bus, mysql, reducer, service, statement
 from hillchute.router.engine_wire import Answer, Hurry, NeverMind, Turn, Want
+from hillchute.router.lifecycle import Lifecycle, Phase
+from hillchute.router.log import Log
 
 COMMENT = b"/* route=report,trace=9b1f03aa5c7e2d41,patience=1500,weight=820.0,mb=96 */ "
 SELECT = b"SELECT day, count(*), max(note) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day"
@@ -389,6 +393,17 @@
     assert not [e for e in rig.ask() if isinstance(e, reducer.Connect)]
 
 
+def test_event_written_twice_brings_no_older_list_back(rig):
+    def listed(number, state):
+        entry = event_bus.Entry(Listing(1, 0, 0, 0, 0, state, 1.0), "127.0.0.1", 1)
+        rig.do(reducer.Told(event_bus.News(number, "Partial", (entry,))))
+        return rig.reducer.peers[1].ready
+
+    assert not listed(3, "Terminating")
+    assert not listed(2, "Ready") and not listed(3, "Ready")
+    assert listed(4, "Ready")
+
+
 # ---- sockets --------------------------------------------------------------------------------------
 
 
@@ -419,3 +434,73 @@
     monkeypatch.setattr(service.anyio, "wait_writable", ready)
     anyio.run(write)
     assert pipe.sock.taken == b"an answer" and not pipe.left
+
+
+class Signals:
+    """Stands in for the receiver of signals."""
+
+    def __init__(self, *numbers):
+        self.numbers = numbers
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        pass
+
+    async def __aiter__(self):
+        for number in self.numbers:
+            yield number
+
+
+@pytest.fixture
+def station():
+    return config.station(TABLE, {})
+
+
+@pytest.fixture
+def router(station):
+    log = Log("n1", -1)
+    lifecycle = Lifecycle(log)
+    lifecycle.enter(Phase.SERVING)
+    return service.Service(station, log, lifecycle)
+
+
+def test_reload_moves_the_event_bus_and_goes_on_from_the_last_number(router, station, monkeypatch):
+    async def run():
+        buses = [socket.create_server(("127.0.0.1", 0)) for _ in range(2)]
+        read_again = iter(
+            [config.BadConfiguration("bus: missing"), station._replace(bus=buses[1].getsockname())]
+        )
+
+        def read():
+            found = next(read_again)
+            if isinstance(found, Exception):
+                raise found
+            return found
+
+        monkeypatch.setattr(service.config, "read", read)
+        monkeypatch.setattr(service.anyio, "open_signal_receiver", lambda *_: Signals(*[signal.SIGHUP] * 2))
+        router.station = station._replace(bus=buses[0].getsockname(), offset=7)
+        async with anyio.create_task_group() as router.tasks:
+            router.move_bus()
+            first = (await anyio.to_thread.run_sync(buses[0].accept))[0]
+            assert await anyio.to_thread.run_sync(first.recv, 8) == event_bus.subscribe(7)
+            await router.watch_signals()
+            second = (await anyio.to_thread.run_sync(buses[1].accept))[0]
+            assert await anyio.to_thread.run_sync(second.recv, 8) == event_bus.subscribe(7)
+            assert await anyio.to_thread.run_sync(first.recv, 8) == b""  # left
+            router.tasks.cancel_scope.cancel()
+        for sock in (*buses, first, second):
+            sock.close()
+
+    with anyio.from_thread.start_blocking_portal() as portal:
+        portal.call(run)
+    assert router.lifecycle.phase is Phase.SERVING
+
+
+def test_changes_that_need_a_restart_are_named(station):
+    table = orjson.loads(orjson.dumps(TABLE))
+    table["settings"]["limits"]["keepalive_ns"] = 1_000_000
+    table["bus"] = "127.0.0.1:9"
+    assert config.needs_restart(station, config.station(table, {})) == ["limits.keepalive"]
