--- a/hillchute/router/config.py
+++ b/hillchute/router/config.py
@@ -17,6 +17,10 @@
 SECOND = 10_000  # tenths of a millisecond
 CLOSING = 3 * SECOND  # the protocol: a planned restart leaves the longest deadline, but no more than this
 SOCKETS = 1024  # where the file states no limit: the least that any deployment gives
+MEMORY = 64  # MB, likewise
+MB = 1_048_576
+SHARE = 16  # part of the memory that all sessions' unread input may take together; the program needs a third
+LONGEST_PACKET = 65_536  # bytes of a client's packet: statements of this platform are far shorter
 
 
 class BadConfiguration(Exception):
@@ -31,6 +35,7 @@
     port: int
     seed: int
     sockets: int
+    packet: int  # bytes that one session's unread input may take
     bus: tuple[str, int]
     offset: int
     known: tuple[event_bus.News, ...]
@@ -90,6 +95,9 @@
     sockets = get(table, "limits.sockets", int, SOCKETS)
     if sockets < 64:
         raise bad("limits.sockets", f"{sockets} are too few to serve with")
+    memory = get(table, "limits.memory_mb", int, MEMORY)
+    if memory < 24:
+        raise bad("limits.memory_mb", f"{memory} are too few to serve with")
     catalog = settings(table)
     seed = get(table, "seed", (str, int))
     try:
@@ -105,6 +113,7 @@
         port=port,
         seed=seed,
         sockets=sockets,
+        packet=min(LONGEST_PACKET, memory * MB // SHARE // (sockets // 2)),
         bus=address(get(table, "bus", str), "bus"),
         offset=offset,
         known=known,
--- a/hillchute/router/mysql.py
+++ b/hillchute/router/mysql.py
@@ -11,7 +11,6 @@
 
 VERSION = b"8.0.36-hillchute"
 USER, DATABASE = b"app", b"lake"
-LONGEST_PACKET = 65_536  # bytes of a client's packet; statements of this platform are far shorter
 MOST_WAITING = 32  # commands a client may write ahead of the answer
 
 # Capabilities: long password, found rows, long flag, connect with a database, protocol 4.1, transactions,
@@ -90,10 +89,12 @@
 class Session:
     """One client's session. feed() takes bytes, command() gives the next command when its turn has come."""
 
-    def __init__(self, number: int) -> None:
+    def __init__(self, number: int, longest: int = 65_536) -> None:
         self.number = number
+        self.longest = longest  # bytes of a packet, and of all that waits here
         self.buffer = bytearray()
         self.waiting: deque[tuple[int, bytes]] = deque()
+        self.ahead = 0  # bytes of the commands that wait
         self.sequence = 0
         self.logged_in = False
         self.busy = False  # a command is open: its answer comes first
@@ -122,12 +123,13 @@
         self.buffer += data
         while len(self.buffer) >= 4:
             size = int.from_bytes(self.buffer[:3], "little")
-            if size > LONGEST_PACKET:
+            if size > self.longest:
                 self.sequence = self.buffer[3] + 1 & 255
-                return self.close(TOO_LARGE, f"packet of {size} bytes; {LONGEST_PACKET} are allowed")
+                return self.close(TOO_LARGE, f"packet of {size} bytes; {self.longest} are allowed")
             if len(self.buffer) < 4 + size:
                 break
-            if len(self.waiting) >= MOST_WAITING:
+            self.ahead += size
+            if len(self.waiting) >= MOST_WAITING or self.ahead > self.longest:
                 return self.close(MALFORMED, "too many commands ahead of their answers")
             self.waiting.append((self.buffer[3], bytes(self.buffer[4 : 4 + size])))
             del self.buffer[: 4 + size]
@@ -136,6 +138,7 @@
     def close(self, kind: tuple[int, bytes], message: str) -> bytes:
         self.over = True
         self.waiting.clear()
+        self.buffer.clear()
         return self.packets([error(kind, message)])
 
     def command(self) -> tuple[Command | None, bytes]:
@@ -143,6 +146,7 @@
         out = b""
         while self.waiting and not self.busy and not self.over:
             number, payload = self.waiting.popleft()
+            self.ahead -= len(payload)
             self.sequence = number + 1 & 255
             if not self.logged_in:
                 out += self.log_in(payload)
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -12,10 +12,12 @@
 import struct
 import time
 import traceback
-from collections.abc import Awaitable
+from collections import deque
+from collections.abc import Awaitable, Callable
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 
 from hillchute.catalog import up
 from hillchute.decision.teamwork import Teamwork
@@ -23,9 +25,11 @@
 from hillchute.router.config import SECOND, Station
 from hillchute.router.lifecycle import Lifecycle, Phase
 from hillchute.router.log import Log
+from hillchute.router.seats import Seats
 
-READ = 65_536  # bytes read at once
-HELD = 1_048_576  # bytes waiting for a peer that does not read; then its connection is cut
+READ = 16_384  # bytes read at once
+HELD = 262_144  # bytes waiting for a peer that does not read; then its connection is cut
+SWEEP = 0.1  # seconds between two looks for sessions too long in one step
 BUS_SILENCE = 2.5  # seconds without the frame that the protocol promises each second: a new connection
 BUS_RETRY = 0.25  # seconds between two tries to reach the event bus
 STILL_COMING = 0.7  # seconds after a signal in which clients may still come, by the protocol
@@ -50,6 +54,8 @@
         self.sock = sock
         self.left = bytearray()
         self.draining = False
+        self.drained: Callable[[], None] | None = None
+        self.eager = False  # whether more may have come: then others get their turn first
         self.since = 0  # when what was read last had come, by the system's clock
 
     def put(self, data: bytes, tasks: anyio.abc.TaskGroup) -> None:
@@ -78,18 +84,42 @@
             self.left.clear()
         finally:
             self.draining = False
+        if self.drained:
+            self.drained()
 
     async def get(self) -> bytes:
         """What has come; empty once the other side has closed or the connection is broken."""
+        if self.eager:
+            await anyio.lowlevel.checkpoint()  # a peer at full speed must not hold up the others
         while len(self.left) < HELD:
             try:
-                return self.sock.recv(READ)
-            except BlockingIOError:
-                await anyio.wait_readable(self.sock)
-            except OSError:
+                try:
+                    data = self.sock.recv(READ)
+                    self.eager = True
+                    return data
+                except BlockingIOError:
+                    self.eager = False
+                    await anyio.wait_readable(self.sock)
+            except GONE:
                 break
         return b""
 
+    def unread(self) -> bool:
+        """Whether something has come that was not read yet."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    async def see_off(self) -> None:
+        """Lets the other side read the last answer: a close with bytes unread here would take it away."""
+        while self.draining:
+            await anyio.sleep(0.01)
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+            while await self.get():
+                pass
+
     def close(self) -> None:
         """Wakes whoever waits on the socket first: its number may be another connection's a moment later."""
         if self.sock.fileno() >= 0:
@@ -98,8 +128,8 @@
 
 
 class Client:
-    def __init__(self, number: int, pipe: Pipe) -> None:
-        self.session = mysql.Session(number)
+    def __init__(self, number: int, pipe: Pipe, longest: int) -> None:
+        self.session = mysql.Session(number, longest)
         self.pipe = pipe
 
 
@@ -141,11 +171,13 @@
         self.station = station
         self.log = log
         self.lifecycle = lifecycle
-        self.most_sessions = station.sockets // 2
+        self.seats = Seats(station.sockets // 2)
         module = Teamwork(station.seed, station.catalog, clock())
         self.reducer = reducer.Reducer(module, station.catalog, station.sockets // 3)
         self.clients: dict[int, Client] = {}
         self.links: dict[int, Link] = {}
+        self.events: deque[reducer.Event] = deque()  # those that came of carrying out an earlier one
+        self.handling = False
         # Numbers of sessions go on from the clock: a client may still name one from before a restart.
         self.sessions = time.time_ns() // 1_000_000 % 2**31
         self.followers: list[anyio.CancelScope] = []  # of the event bus, the newest last
@@ -156,6 +188,18 @@
     # ---- events in, effects out -------------------------------------------------------------------
 
     def handle(self, event: reducer.Event) -> None:
+        """One event after another: what follows from an effect waits until all effects before are out."""
+        self.events.append(event)
+        if self.handling:
+            return
+        self.handling = True
+        try:
+            while self.events:
+                self.handle_one(self.events.popleft())
+        finally:
+            self.handling = False
+
+    def handle_one(self, event: reducer.Event) -> None:
         sends: dict[int, bytes] = {}
         for effect in self.reducer.reduce(event, clock()):
             if isinstance(effect, reducer.Send):
@@ -196,6 +240,18 @@
             client.pipe.put(encode(client.session), self.tasks)
             self.commands(client)
 
+    def seat(self, client: Client) -> None:
+        """Tells the seats how the session stands now."""
+        session, number = client.session, client.session.number
+        if number not in self.clients:
+            return
+        if session.busy and not session.over:
+            self.seats.ask(number)
+        elif session.over or not session.logged_in or session.buffer or client.pipe.left:
+            self.seats.in_step(number, clock())
+        else:
+            self.seats.rest(number)
+
     async def guarded(self, work: Awaitable[None], what: str) -> None:
         """A fault in one session or connection ends that one alone."""
         try:
@@ -216,6 +272,7 @@
             listener.setblocking(False)
             self.tasks.start_soon(self.watch_signals)
             self.tasks.start_soon(self.ring)
+            self.tasks.start_soon(self.end_late_steps)
             self.move_bus()
             self.tasks.start_soon(self.accept, listener)
             gc.collect()
@@ -301,25 +358,59 @@
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.sessions += 1
-            self.tasks.start_soon(self.guarded, self.client(sock, self.sessions), f"session {self.sessions}")
-
-    async def client(self, sock: socket.socket, number: int) -> None:
-        pipe = Pipe(sock)
-        client = Client(number, pipe)
-        with contextlib.closing(pipe):
-            if len(self.clients) >= self.most_sessions:
-                pipe.put(client.session.close(mysql.REFUSED, "too many sessions"), self.tasks)
-                return
-            self.clients[number] = client
-            try:
-                pipe.put(client.session.greeting(), self.tasks)
-                await self.hear_client(client)
-                with anyio.move_on_after(STILL_COMING):
-                    while client.session.over and pipe.left:
-                        await anyio.sleep(0.01)
-            finally:
-                del self.clients[number]
-                self.handle(reducer.Left(number))
+            client = Client(self.sessions, Pipe(sock), self.station.packet)
+            if self.make_room():
+                first = client.session.greeting()
+            elif self.seats.overfull:
+                client.pipe.close()
+                continue
+            else:
+                first = client.session.close(mysql.REFUSED, "too many sessions")
+            client.pipe.put(first, self.tasks)
+            self.clients[self.sessions] = client
+            self.seat(client)
+            self.tasks.start_soon(self.guarded, self.client(client), f"session {self.sessions}")
+            await anyio.lowlevel.checkpoint()  # those who came before have their turn
+
+    def make_room(self) -> bool:
+        """A place for one more session. Who has written something that was not read yet keeps its own."""
+        if not self.seats.full:
+            return True
+        for number in self.seats.give_way():
+            if not self.clients[number].pipe.unread():
+                self.drop(number)
+                return True
+        return False
+
+    def drop(self, number: int) -> None:
+        """Ends a session from this side; its task hears of it later."""
+        client = self.clients.pop(number)
+        self.seats.leave(number)
+        client.session.over = True
+        client.pipe.close()
+
+    async def end_late_steps(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP)
+            for number in self.seats.late(clock()):
+                session, pipe = self.clients[number].session, self.clients[number].pipe
+                if not session.over and not pipe.left:
+                    pipe.put(session.close(mysql.MALFORMED, "a packet was not complete in time"), self.tasks)
+                self.drop(number)
+
+    async def client(self, client: Client) -> None:
+        pipe, number = client.pipe, client.session.number
+        try:
+            pipe.drained = lambda: self.commands(client)
+            await self.hear_client(client)
+            if client.session.over:
+                await pipe.see_off()
+        finally:
+            pipe.drained = None
+            pipe.close()
+            self.clients.pop(number, None)
+            self.seats.leave(number)
+            self.handle(reducer.Left(number))
 
     async def hear_client(self, client: Client) -> None:
         while not client.session.over and (data := await client.pipe.get()):
@@ -332,13 +423,13 @@
     def commands(self, client: Client) -> None:
         """Acts on the commands whose turn has come."""
         session = client.session
-        while True:
+        while not client.pipe.left:  # one answer at a time: the next command waits until this one is read
             command, out = session.command()
             if out:
                 client.pipe.put(out, self.tasks)
             match command:
                 case None:
-                    return
+                    break
                 case mysql.Query(text):
                     self.ask(client, text)
                 case mysql.KillQuery(number):
@@ -349,6 +440,7 @@
                     client.pipe.put(done, self.tasks)
                 case mysql.Ping():
                     client.pipe.put(session.ok(), self.tasks)
+        self.seat(client)
 
     def ask(self, client: Client, text: bytes) -> None:
         try:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -12,7 +12,7 @@
 from hillchute.benchlink.codec import Fields
 from hillchute.decision.interface import Listing
 from hillchute.decision.teamwork import SECOND, Teamwork
-from hillchute.router import config, engine_wire, event_bus, mysql, reducer, service, statement
+from hillchute.router import config, engine_wire, event_bus, mysql, reducer, seats, service, statement
 from hillchute.router.engine_wire import Answer, Hurry, NeverMind, Turn, Want
 from hillchute.router.lifecycle import Lifecycle, Phase
 from hillchute.router.log import Log
@@ -504,3 +504,107 @@
     table["settings"]["limits"]["keepalive_ns"] = 1_000_000
     table["bus"] = "127.0.0.1:9"
     assert config.needs_restart(station, config.station(table, {})) == ["limits.keepalive"]
+
+
+# ---- who may stay connected -----------------------------------------------------------------------
+
+
+def test_silent_sessions_give_way_first_then_the_longest_idle_and_never_one_with_a_query():
+    places = seats.Seats(4)
+    for session in (1, 2, 3, 4):
+        places.in_step(session, 0)
+    places.ask(1)
+    places.rest(2)
+    places.rest(3)
+    places.rest(2)
+    assert places.full and list(places.give_way()) == [4, 3, 2]
+
+
+def test_step_is_late_by_its_own_clock_and_an_idle_session_never():
+    places = seats.Seats(4)
+    places.in_step(1, 0)
+    places.in_step(2, 5)
+    places.rest(2)
+    places.in_step(3, 10)
+    places.in_step(1, 20)
+    assert places.late(seats.STEP) == [1]
+
+
+def test_commands_that_wait_are_bounded_together():
+    session = mysql.Session(7, longest=1000)
+    session.greeting()
+    session.feed(packet(1, login()))
+    session.command()
+    assert not session.feed(packet(0, b"\x03" + b"x" * 600))
+    assert session.feed(packet(0, b"\x03" + b"x" * 600)) and session.over
+
+
+async def serve(router, talk):
+    """Runs a router's door on a port of its own while `talk` speaks to it in a thread."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    listener.setblocking(False)
+    async with anyio.create_task_group() as router.tasks:
+        router.tasks.start_soon(router.accept, listener)
+        router.tasks.start_soon(router.end_late_steps)
+        await anyio.to_thread.run_sync(talk, listener.getsockname())
+        router.tasks.cancel_scope.cancel()
+    listener.close()
+
+
+def hear(sock):
+    """All that the router says until it closes."""
+    sock.settimeout(5)
+    said = b""
+    while data := sock.recv(65_536):
+        said += data
+    return said
+
+
+def test_usual_client_finds_room_among_hundreds_that_say_nothing(router):
+    def talk(address):
+        silent = [socket.create_connection(address) for _ in range(router.seats.most + 20)]
+        with socket.create_connection(address) as sock:
+            sock.sendall(packet(1, login()) + packet(0, b"\x0e") + packet(0, b"\x01"))
+            assert hear(sock).endswith(packet(2, mysql.OK) + packet(1, mysql.OK))
+        assert len(router.clients) <= router.seats.most
+        for sock in silent:
+            sock.close()
+
+    anyio.run(serve, router, talk)
+
+
+def test_error_reaches_a_client_that_goes_on_sending(router):
+    def talk(address):
+        with socket.create_connection(address) as sock:
+            sock.sendall(packet(1, login()) + b"\xff\xff\xff\0")
+            for _ in range(300):
+                sock.sendall(b"x" * 10_000)
+            sock.shutdown(socket.SHUT_WR)
+            assert b"are allowed" in hear(sock)
+
+    anyio.run(serve, router, talk)
+
+
+def test_login_that_does_not_go_on_is_ended(router, monkeypatch):
+    monkeypatch.setattr(seats, "STEP", 500)
+
+    def talk(address):
+        with socket.create_connection(address) as sock:
+            sock.sendall(packet(1, login())[:9])
+            assert b"not complete in time" in hear(sock)
+
+    anyio.run(serve, router, talk)
+
+
+def test_events_that_follow_from_an_effect_wait_until_those_before_are_out(router, monkeypatch):
+    done = []
+    monkeypatch.setattr(router.reducer, "reduce", lambda event, now: [f"{event} one", f"{event} two"])
+
+    def carry_out(effect):
+        done.append(effect)
+        if effect == "first one":
+            router.handle("second")
+
+    monkeypatch.setattr(router, "carry_out", carry_out)
+    router.handle("first")
+    assert done == ["first one", "first two", "second one", "second two"]
