Errors are an engine's fault only once another ran the query; a lost connection is one failure

Logs: a request with an id that no engine knows is answered EIO at once and was tried five times within 3 ms; each error counted in judge() as a failure of a good engine, so two in a row rested it 0.4 to 5 s; likewise a lost connection with five submissions counted five failures (REST << 5 = 3.2 s). Now: a query's first error is held against the engine only once another engine ran it; after two errors the query is the fault and is answered; failures of one moment count once. Failing tests first: the three in test_teamwork.py.

--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -92,6 +92,8 @@
     line: deque | None = None  # where it stands while it waits in one
     legs: list[Submission] = field(default_factory=list)
     ran: Submission | None = None  # the first submission that may have run
+    errors: int = 0
+    blamed: "Engine | None" = None  # the first engine that answered it with an error
     streaming: bool = False
 
     @property
@@ -122,7 +124,8 @@
     reported_at: Time = 0
     probed_at: Time = -(10**9)
     pressed_until: Time = 0
-    fails: int = 0
+    fails: int = 0  # moments of failure in a row
+    failed_at: Time = -1
     rest_until: Time = 0
 
     def listed(self, entry: Listing, catalog: Catalog) -> None:
@@ -158,6 +161,11 @@
         if q.group.is_load:
             self.holds.remove(q.tables)
 
+    def failed(self, now: Time) -> int:
+        """Counts a failure; those of one moment count once."""
+        self.fails, self.failed_at = self.fails + (now > self.failed_at), now
+        return self.fails
+
     def since(self, start: Time) -> tuple[int, float]:
         """Threads and memory that this router has sent since then."""
         while self.sent and self.sent[0][0] < start:
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -2,8 +2,7 @@
 
 A front calls the inputs (roster, take, outcome, ...), which only update what is known, and pulls decide()
 until it gives None: see interface.py, and state.py for the state. Times are whole tenths of a millisecond.
-docs/design.md tells what departs from the design and when; docs/oncall.md what will be seen at night.
-"""
+docs/design.md tells what departs from the design and when; docs/oncall.md what will be seen at night."""
 
 from bisect import bisect
 from collections import defaultdict, deque
@@ -162,19 +161,26 @@
             e.pressed_until = self.now + PRESSED
         if result == "finished":
             e.fails = 0
+            if q.blamed not in (None, e):
+                self.blame(q.blamed)
             q.group.took += SMOOTH * (elapsed - q.group.took)
             self.dear += SMOOTH * (elapsed / q.group.value - self.dear)
             if cost:
                 q.group.scale += SMOOTH * (min(5.0, max(0.2, cost / q.cost)) - q.group.scale)
+        elif result == "errored" and self.may_run_again(q):
+            # Guards against queries that no engine can run: the engine is at fault once another ran it.
+            q.errors, q.blamed = q.errors + 1, q.blamed or e
         elif result in BROKEN:
-            # Guards against an engine that is down, or answers fast with nothing but errors and so draws
-            # ever more traffic. A lone failure costs nothing: connections may break on engines that are well.
-            e.fails += 1
-            if e.fails > 1:
-                e.rest_until = self.now + min(LONGEST_REST, REST << min(e.fails, 10))
+            self.blame(e)
             if result == "refused_conn":
                 e.started = max(e.started, self.now)  # it may come back cold before the roster says so
 
+    def blame(self, e):
+        """Guards against an engine that is down, or answers fast with nothing but errors and so draws ever
+        more traffic. A lone failure costs nothing, nor does all that goes down with one connection."""
+        if e.failed(self.now) > 1:
+            e.rest_until = self.now + min(LONGEST_REST, REST << min(e.fails, 10))
+
     def read_report(self, e, report):
         if "inflight" in report:
             e.reported = report["inflight"] * self.work / self.span if self.span else report["inflight"]
@@ -233,7 +239,7 @@
 
     def may_run_again(self, q):
         """Rules 1, 2 and 7 and the limit of tries: may it be submitted now, as far as it alone goes?"""
-        if q.place == "ended" or len(q.legs) >= self.catalog.get("limits.most_tries", 1):
+        if q.place == "ended" or q.errors > 1 or len(q.legs) >= self.catalog.get("limits.most_tries", 1):
             return False
         if q.out or (q.ran and q.group.effect == "mutating"):
             return False  # never two at once, also where that is allowed: it would feed an overload
@@ -259,9 +265,8 @@
     def allowed(self, e, q):
         """Rules 2, 3, 4, 6 and 7: may this query go to this engine now, whatever the load?"""
         g = q.group
-        if not e.ready or (g.zones is not None and e.zone not in g.zones):
-            return False
-        if (g.kinds is not None and e.kind not in g.kinds) or (q.legs and not self.may_run_again(q)):
+        fits = (g.zones is None or e.zone in g.zones) and (g.kinds is None or e.kind in g.kinds)
+        if not e.ready or not fits or (q.legs and not self.may_run_again(q)):
             return False
         if q.ran and g.effect == "tokened" and g.repeats != "all":
             first = self.engines[q.ran.engine]
@@ -287,8 +292,7 @@
     def load(self, e):
         """Threads on the engine: as reported plus this router's since; unheard, the average of the reports.
 
-        A report goes over into the average as it ages: what it told has gone after a few queries' time.
-        """
+        A report goes over into the average as it ages: what it told has gone after a few queries' time."""
         threads = self.since(e)[0]
         if self.held is None:
             return e.threads
@@ -337,8 +341,7 @@
         """Overload: the more crowded the engines, the lighter a query must be, for its group and its value.
 
         Guards against a jam of all engines, in which no router's own queue grows. Covers whatever makes the
-        work too much: bursts, lost engines, slowdowns, retries. Does harm where estimates are worthless.
-        """
+        work too much: bursts, lost engines, slowdowns, retries. Does harm where estimates are worthless."""
         # Reports that count what engines hold tell a crowd from a slowdown; elsewhere only the pace does.
         pace = self.pace() / (2 if self.counted else 1)
         line = q.group.is_load and self.behind.get(q.tables) or self.queue
@@ -441,8 +444,7 @@
         """Loads of a table group keep to one half of the engines, queries that wait for loads to the other.
 
         Guards against standing still behind loads that other routers sent: the halves follow from the table
-        group and the engines' ids, so all routers split alike. Does harm where one half is short of engines.
-        """
+        group and the engines' ids, so all routers split alike. Does harm where one half is short of some."""
         if q.tables not in self.orders:
             self.orders[q.tables] = sorted(self.engines, key=lambda n: crc32(f"{q.tables}:{n}".encode()))
         order = self.orders[q.tables]
@@ -456,8 +458,7 @@
         """The engines for this load, if it would stand still behind one of ours on all of them.
 
         Guards against engines full of loads that hold memory, stand still and look like a crowd. Acts where
-        loads of one table group come faster than its engines run them; their order there is their order here.
-        """
+        loads of a table group come faster than its engines run them; their order there is the one here."""
         if not q.group.is_load:
             return []
         engines = self.side([e for e in self.engines.values() if self.allowed(e, q)], q)
@@ -515,8 +516,8 @@
         if not self.catalog.get("domain.ranks_heeded", False) or q.legs:
             return
         light = 2 if q.cost <= q.group.usual else 1 if q.cost <= 3 * q.group.usual else 0
-        priority = 3 if q.group.number in self.dashboards or q.group.is_load else light
-        self.planned.append(("terms", q.id, 0, priority))
+        first = q.group.number in self.dashboards or q.group.is_load
+        self.planned.append(("terms", q.id, 0, 3 if first else light))
 
     def probe(self):
         """Where reports come by probes alone: the engine probed longest ago, paced by the queries taken."""
--- a/tests/test_teamwork.py
+++ b/tests/test_teamwork.py
@@ -3,6 +3,7 @@
 import pytest
 from conftest import LOAD, LOOKUP, REPORT, WRITE
 
+from hillchute.decision.state import Submission
 from hillchute.decision.teamwork import SECOND
 
 
@@ -106,12 +107,37 @@
 def test_failing_engine_rests_longer_each_time(desk):
     e = desk.router.engines[1]
     rests = []
-    for _ in range(3):
-        desk.tried(LOOKUP, result="refused_conn")
+    for sent in range(3):
+        desk.tried(LOOKUP, sent=sent, result="refused_conn")
         rests.append(e.rest_until)
     assert rests == sorted(set(rests)) and e.rest_until > desk.router.now
 
 
+def test_all_that_goes_down_with_one_connection_is_one_failure(desk):
+    for q in [desk.tried(LOOKUP) for _ in range(5)]:
+        desk.router.outcome(10, q.id, 0, "severed", False, 10)
+    assert desk.router.engines[1].rest_until == 0
+
+
+def test_query_that_no_engine_can_run_rests_none_and_is_not_tried_for_ever(desk):
+    for n in range(6):
+        q = desk.tried(LOOKUP, sent=n, result="errored")
+        q.legs.append(Submission(2, n, q.cost, q.cost))
+        desk.router.engines[2].out += 1
+        desk.router.outcome(n, q.id, 1, "errored", False, 0)
+        assert not desk.router.may_run_again(q)
+    assert not any(e.rest_until for e in desk.router.engines.values())
+
+
+def test_engine_whose_errors_another_engine_can_run_rests(desk):
+    for n in range(2):
+        q = desk.tried(LOOKUP, sent=n, result="errored")
+        q.legs.append(Submission(2, n, q.cost, q.cost))
+        desk.router.engines[2].out += 1
+        desk.router.outcome(n, q.id, 1, "finished", True, 0)
+    assert desk.router.engines[1].rest_until > desk.router.now and desk.router.engines[2].rest_until == 0
+
+
 def test_engine_that_hangs_between_reports_is_seen_by_what_is_out(desk):
     e = desk.router.engines[1]
     desk.router.read_report(e, {"inflight": 0.0})
