Answers are decoded and checked once in the codec; spoilt or silent connections are cut

Seen by reading: Answer.figure, whole and report parsed late and raised inside the reducer (leg_over had marked the submission over by then, the round's effects were lost); a chunk's good answers before a bad one were dropped with it; a body of 65,536 bytes was taken where the protocol allows 6,000; a connection that fell silent with submissions on it was only passed over for new ones. Now: one typed, range-checked Answer; pages twice, unasked or unknown pass by; a spoilt page or unreadable line cuts that connection alone; a connection with something open that is silent for a note's interval plus the way is cut; a fault in any event is contained and logged, the overdue guard is set before the module hears of a query.

--- a/hillchute/router/engine_wire.py
+++ b/hillchute/router/engine_wire.py
@@ -4,12 +4,16 @@
 query is for; what can't be read is an Unreadable, after which the connection is of no more use.
 """
 
+from collections.abc import Iterator
 from typing import NamedTuple
 
 LONGEST_LINE = 4_096  # bytes of an answer's words; the protocol's own are a few hundred at most
-LONGEST_BODY = 65_536  # bytes of a page; the protocol allows 6,000
+LONGEST_BODY = 6_000  # bytes of a page, by the protocol
+MOST_PARTS = 64  # pages of a result: it holds 48,000 bytes at most, and a page whole rows
+LARGEST = 1e9  # of any figure: 11 days of work, or a thousand times the memory of any engine
 
 ENDINGS = {"AGAIN": "saturated", "EIO": "errored", "STALE": "superseded"}
+WORDS = {"ACK", "BLOCK", "EVENT", "READY", "AILING", *ENDINGS}
 TOPICS = {"advance": 1, "disk": 2, "stall": 3}  # as the module counts notes
 
 
@@ -52,41 +56,50 @@
 
 
 class Answer(NamedTuple):
+    """One answer, decoded and checked: what is not in it stands at its default."""
+
     id: str
     word: str
-    fields: dict[str, str]
-    body: bytes
-
-    def whole(self, name: str, default: int = 0) -> int:
-        text = self.fields.get(name)
-        if text is None:
-            return default
-        try:
-            return int(text)
-        except ValueError:
-            raise Unreadable(f"{self.word}: {name} is no whole number: {text[:40]}") from None
+    body: bytes = b""
+    parts: int = 1
+    part: int = 0
+    topic: int = 0  # of a note; 0: none that the module knows
+    value: float = 0.0  # of a note
+    work: float | None = None  # milliseconds on one core
+    report: dict[str, float] | None = None
 
-    def figure(self, name: str, default: float = 0.0) -> float:
-        return real(self.fields.get(name, default), f"{self.word}: {name}")
 
-    def report(self) -> dict[str, float] | None:
-        text = self.fields.get("rep")
-        if not text:
-            return None
-        pairs = (pair.partition(":") for pair in text.split(";"))
-        return {name: real(value, f"{self.word}: rep: {name}") for name, _, value in pairs}
+def whole(text: str, what: str, least: int, most: int) -> int:
+    if not text.isascii() or not text.isdigit() or len(text) > 9 or not least <= int(text) <= most:
+        raise Unreadable(f"{what}: {text[:40]} is not a whole number from {least} to {most}")
+    return int(text)
 
 
-def real(text: str | float, what: str) -> float:
+def figure(text: str, what: str) -> float:
     try:
         value = float(text)
     except ValueError:
-        raise Unreadable(f"{what} is no number: {str(text)[:40]}") from None
-    if value - value != 0:  # infinite or no number: nothing to reckon with
-        raise Unreadable(f"{what} is not finite")
+        value = -1.0
+    if not 0 <= value <= LARGEST:  # also false where it is no number: nothing to reckon with
+        raise Unreadable(f"{what}: {text[:40]} is no figure in range")
     return value
 
 
+def load_report(text: str) -> dict[str, float]:
+    pairs = (pair.partition(":") for pair in text.split(";"))
+    return {name: figure(value, f"rep: {name}") for name, _, value in pairs}
+
+
+READERS = {
+    "parts": ("parts", lambda text: whole(text, "parts", 1, MOST_PARTS)),
+    "part_no": ("part", lambda text: whole(text, "part_no", 1, MOST_PARTS)),
+    "why": ("topic", lambda text: TOPICS.get(text, 0)),
+    "value": ("value", lambda text: figure(text, "value")),
+    "work": ("work", lambda text: figure(text, "work")),
+    "rep": ("report", load_report),
+}
+
+
 def encode(command: Command) -> bytes:
     match command:
         case Want(id, group, ttl, rank, token, statement):
@@ -115,43 +128,47 @@
     def __init__(self) -> None:
         self.rest = b""
 
-    def feed(self, data: bytes) -> list[Answer]:
-        if self.rest:
-            data = self.rest + data
-        answers = []
+    def feed(self, data: bytes) -> Iterator[Answer]:
+        """The answers that are whole now; those before one that can't be read are given first."""
+        self.rest += data
         at = 0
-        while (read := read_answer(data, at)) is not None:
-            answer, at = read
-            answers.append(answer)
-        self.rest = data[at:]
-        return answers
+        try:
+            while (read := read_answer(self.rest, at)) is not None:
+                answer, at = read
+                yield answer
+        finally:
+            self.rest = self.rest[at:]
 
 
 def read_answer(data: bytes, at: int) -> tuple[Answer, int] | None:
     """The answer that begins at this place and where the next one does; None if it has not come whole."""
-    end = data.find(b"\r\n", at)
+    end = data.find(b"\r\n", at, at + LONGEST_LINE)
     if end < 0:
-        if len(data) - at > LONGEST_LINE:
+        if len(data) - at >= LONGEST_LINE:
             raise Unreadable("a line is too long")
         return None
-    words = data[at:end].decode("utf-8", "replace").split(" ")
-    if len(words) != 4 or end - at > LONGEST_LINE:
-        raise Unreadable(f"not four words: {' '.join(words)[:80]}")
+    try:
+        words = data[at:end].decode("ascii").split(" ")
+    except UnicodeDecodeError:
+        raise Unreadable("a line is not ASCII") from None
+    if len(words) != 4 or words[1] not in WORDS:
+        raise Unreadable(f"not four words, or not an answer's: {' '.join(words)[:80]}")
     id, word, listed, size = words
-    if not size.isascii() or not size.isdigit() or int(size) > LONGEST_BODY:
-        raise Unreadable(f"{word}: not a length: {size[:40]}")
     start = end + 2
-    stop = start + int(size)
+    stop = start + whole(size, "length", 0, LONGEST_BODY)
     if len(data) < stop + 2:
         return None
     if data[stop : stop + 2] != b"\r\n":
         raise Unreadable(f"{word}: no line end after the body")
-    fields = {}
-    if listed != "-":
-        for pair in listed.split(","):
-            name, _, value = pair.partition("=")
-            fields[name] = value
-    return Answer(id, word, fields, data[start:stop]), stop + 2
+    known = {}
+    for pair in listed.split(",") if listed != "-" else ():
+        name, sign, text = pair.partition("=")
+        if not sign:
+            raise Unreadable(f"{word}: field {name[:40]} has no value")
+        if name in READERS:
+            key, read = READERS[name]
+            known[key] = read(text)
+    return Answer(id, word, data[start:stop], **known), stop + 2
 
 
 def rows(text: bytes) -> list[list[bytes]]:
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -135,7 +135,7 @@
     line: "Line | None" = None
     written: bool = False
     over: bool = False
-    pages: list[bytes | None] | None = None  # once the engine has answered
+    pages: list[list[list[bytes]] | None] | None = None  # once the engine has answered
     answer: wire.Answer | None = None
 
 
@@ -185,6 +185,8 @@
         self.connect_wait: Time = catalog.get("limits.connect_timeout", 0)
         self.keepalive: Time = catalog.get("limits.keepalive", 0)
         self.notes_every: Time = catalog.get("domain.tells_every", 0)
+        # Notes come as often as the settings say; the rest is the way there and back.
+        self.silence: Time = self.notes_every + 2 * self.connect_wait
         self.open_cap = catalog.get("limits.open_cap", 0)
         self.tick: Time = max(1, catalog.get("tick", 1))
         self.tokened = {n for n in self.groups.values() if catalog.get(f"groups.{n}.effect") == "tokened"}
@@ -228,23 +230,27 @@
             # Whatever event comes first after a pause finds the timers late, not only the one that rings.
             self.late = max(now - self.due[0][0], LEAST_LATE, self.late - (now - self.late_at) // FADES)
             self.late_at = now
-        self.takes[type(event)](*event)
+        self.contained(self.takes[type(event)], *event)
         while self.due and self.due[0][0] <= now:
             _, _, call, names = heappop(self.due)
-            call(*names)
+            self.contained(call, *names)
             self.informed = True
         if self.informed:  # a page or a note alone tells the module nothing that it decides by
-            self.pull()
+            self.contained(self.pull)
         self.set_alarm()
         return self.effects
 
-    def pull(self) -> None:
-        """Takes decisions until there is none. A fault there ends this round, not the program."""
+    def contained(self, call: Callable[..., None], *names: object) -> None:
+        """A fault ends this call, not the program; the effects before it stand."""
         try:
-            while (decision := self.module.decide(self.now)) is not None:
-                self.carry_out(decision)
+            call(*names)
         except Exception:
-            self.note("fault", what="decision", trace=traceback.format_exc(limit=-8))
+            self.note("fault", what=call.__name__, trace=traceback.format_exc(limit=-8))
+
+    def pull(self) -> None:
+        """Takes decisions until there is none."""
+        while (decision := self.module.decide(self.now)) is not None:
+            self.carry_out(decision)
 
     def carry_out(self, decision: tuple) -> None:
         match decision:
@@ -305,10 +311,10 @@
         self.queries[request.id] = self.asking[session] = q
         group = self.groups[request.group]
         key = request.key if group in self.ordered else None
+        self.at(max(due, since + request.patience - LEAST_LATE // 2), self.overdue, request.id)
         self.module.take(
             self.now, request.id, group, due, request.tables, 0, request.cost, request.memory, key
         )
-        self.at(max(due, since + request.patience - LEAST_LATE // 2), self.overdue, request.id)
 
     def misfit(self, session: int, request: Request) -> str | None:
         """Why this request can't be a query here."""
@@ -444,8 +450,7 @@
         self.informed = True
         cost = report = None
         if answer is not None:
-            cost = round(answer.figure("work") * 10) or None
-            report = answer.report()
+            cost, report = round((answer.work or 0) * 10) or None, answer.report
         self.module.outcome(
             self.now, q.request.id, leg.number, result, final or q.answered, self.now - leg.sent, cost, report
         )
@@ -471,51 +476,39 @@
             case "ACK":
                 self.acknowledged(line, leg, answer)
             case "BLOCK":
-                self.page(leg, answer)
+                self.page(line, leg, answer)
             case "EVENT":
-                topic = wire.TOPICS.get(answer.fields.get("why", ""))
-                if topic:
-                    figure = answer.figure("value")
-                    self.module.progress(self.now, answer.id, leg.number, topic, figure)
+                if answer.topic:
+                    self.module.progress(self.now, answer.id, leg.number, answer.topic, answer.value)
             case word if word in wire.ENDINGS:
                 leg.answer = answer
                 self.leg_over(leg, wire.ENDINGS[word])
-            case word:
-                self.note("fault", what="unknown answer", word=word[:20])
 
     def acknowledged(self, line: Line, leg: Leg, answer: wire.Answer) -> None:
         if leg.pages is not None:
             return
         leg.answer = answer
-        parts = answer.whole("parts", 1)
-        if not 1 <= parts <= 64:
-            raise wire.Unreadable(f"ACK: {parts} parts")
-        leg.pages = [answer.body] + [None] * (parts - 1)
+        leg.pages = [None] * answer.parts
         if leg.query.answered:
-            if parts > 1:
+            if answer.parts > 1:
                 self.effects.append(Send(line.number, wire.Shut(answer.id)))
             self.leg_over(leg, "finished")
             return
-        self.effects.extend(Send(line.number, wire.Turn(answer.id, page)) for page in range(1, parts))
-        self.complete(leg)
-
-    def page(self, leg: Leg, answer: wire.Answer) -> None:
-        number = answer.whole("part_no", -1)
-        if leg.pages is None or not 0 < number < len(leg.pages):
-            raise wire.Unreadable(f"BLOCK: page {number} was not asked for")
-        leg.pages[number] = answer.body
-        self.complete(leg)
+        self.effects.extend(Send(line.number, wire.Turn(answer.id, page)) for page in range(1, answer.parts))
+        self.page(line, leg, answer)
 
-    def complete(self, leg: Leg) -> None:
-        if any(page is None for page in leg.pages):
+    def page(self, line: Line, leg: Leg, answer: wire.Answer) -> None:
+        """One page of a result. One that was not asked for, or that is here already, is passed over."""
+        if leg.pages is None or answer.part >= len(leg.pages) or leg.pages[answer.part] is not None:
             return
-        q = leg.query
         try:
-            rows = wire.rows(b"".join(leg.pages))
+            leg.pages[answer.part] = wire.rows(answer.body)
         except wire.Unreadable as fault:
-            self.note("fault", what="result", id=q.request.id, why=str(fault))
-            self.leg_over(leg, "errored")
+            self.cut(line, f"spoilt page: {fault}")
             return
+        if any(page is None for page in leg.pages):
+            return
+        q, rows = leg.query, [row for page in leg.pages for row in page]
         self.leg_over(leg, "finished", final=True)
         self.answer(q, Finish(q.session, rows), "finished")
 
@@ -537,7 +530,7 @@
         self.informed = True
         if self.now - sent <= self.connect_wait:
             result = "finished" if answer.word == "READY" else wire.ENDINGS.get(answer.word, "errored")
-            self.module.probed(self.now, line.engine, result, answer.report())
+            self.module.probed(self.now, line.engine, result, answer.report)
 
     def probe_over(self, line: Line, tag: str) -> None:
         """No answer in time. The tag stays known: it may still come, and a silent line is told by it."""
@@ -564,11 +557,27 @@
 
     def silent(self, line: Line) -> bool:
         """Something is open on it, and nothing has come for longer than notes and probes take."""
-        patience = max(2 * self.notes_every, 2 * self.connect_wait)
-        if self.now - line.heard <= patience:
+        if self.now - line.heard <= self.silence:
             return False
-        open_since = min([*line.probes.values(), *(leg.sent for leg in line.legs.values())], default=None)
-        return open_since is not None and self.now - open_since > patience
+        sent = [leg.sent for leg in line.legs.values()] if self.notes_every else []
+        open_since = min([*line.probes.values(), *sent], default=None)
+        return open_since is not None and self.now - open_since > self.silence
+
+    def listen(self, number: int) -> None:
+        """Guards against answers that stop short or never come, and machines that vanish: the connection
+        stays open, says nothing any more and is of no use to any submission on it."""
+        line = self.lines.get(number)
+        if line is None:
+            return
+        if self.silent(line):
+            self.cut(line, "silent")
+        else:
+            self.at(self.now + self.silence // 4, self.listen, number)
+
+    def cut(self, line: Line, why: str) -> None:
+        """Ends a connection of no more use from this side."""
+        self.effects.append(HangUp(line.number))
+        self.lost(line.number, why)
 
     def open_line(self, peer: Peer) -> Line | None:
         if len(self.lines) >= self.most_lines:
@@ -589,9 +598,7 @@
             self.effects.append(Send(line.number, wire.Busy(tag)))
         while line.waiting:
             self.send(line.waiting.popleft(), line)
-        for other in list(self.peers[line.engine].lines.values()):
-            if other is not line and other.up and not other.legs and self.silent(other):
-                self.drop(other)  # this one came up instead
+        self.at(self.now + self.silence, self.listen, number)
         if self.keepalive:
             self.at(self.now + self.keepalive // 2, self.rest, line)
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -139,16 +139,36 @@
     decoder = engine_wire.Decoder()
     data = b"q1 ACK parts=2,work=12.5,rep=util:0.5;inflight:7 6\r\na\tb\tc\n\r\nq2 EIO - 0\r\n\r\n"
     answers = [answer for n in range(len(data)) for answer in decoder.feed(data[n : n + 1])]
-    assert answers == engine_wire.Decoder().feed(data)
+    assert answers == list(engine_wire.Decoder().feed(data))
     assert [a.word for a in answers] == ["ACK", "EIO"]
-    assert answers[0].report() == {"util": 0.5, "inflight": 7.0}
+    assert (answers[0].report, answers[0].work) == ({"util": 0.5, "inflight": 7.0}, 12.5)
     assert engine_wire.rows(answers[0].body) == [[b"a", b"b", b"c"]]
 
 
-@pytest.mark.parametrize("data", [b"x\r\n", b"q ACK - z\r\n", b"q ACK - 1\r\nabc", b"q" * 5000])
-def test_unreadable_answer_is_said_to_be(data):
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"x\r\n",
+        b"q ACK - z\r\n",
+        b"q ACK - 1\r\nabc",
+        b"q ACK - 3000000000\r\n",
+        b"q NOISE - 0\r\n\r\n",
+        b"\xff\xfe ACK - 0\r\n\r\n",
+        b"q ACK work=-1 0\r\n\r\n",
+        b"q ACK work=inf 0\r\n\r\n",
+        b"q ACK parts=0 0\r\n\r\n",
+        b"q EVENT why=advance,value=nan 0\r\n\r\n",
+        b"q READY rep=util:x 0\r\n\r\n",
+        b"q ACK parts 0\r\n\r\n",
+        b"q" * 5000,
+    ],
+    ids=range(13),
+)
+def test_answers_before_one_that_cannot_be_read_are_given(data):
+    answers = engine_wire.Decoder().feed(b"q1 EIO - 0\r\n\r\n" + data)
+    assert next(answers).id == "q1"
     with pytest.raises(engine_wire.Unreadable):
-        engine_wire.Decoder().feed(data)
+        next(answers)
 
 
 def test_known_and_frames_give_the_same_listing():
@@ -233,7 +253,12 @@
 # ---- the reducer ----------------------------------------------------------------------------------
 
 NAMES = {f"groups.{n}.name": name for n, name in enumerate(["lookup", "report", "load", "write"])}
-LIMITS = {"limits.open_cap": 100, "limits.connect_timeout": 2500, "limits.streams_per_conn": 8}
+LIMITS = {
+    "limits.open_cap": 100,
+    "limits.connect_timeout": 2500,
+    "limits.streams_per_conn": 8,
+    "domain.tells_every": SECOND,
+}
 
 
 class Rig:
@@ -259,8 +284,8 @@
         assert [type(e.command) for e in self.do(reducer.Connected(line), now, reducer.Send)] == [Want]
         return line
 
-    def say(self, line, word, now=10, id="a" * 16, body=b"", kind=None, **fields):
-        return self.do(reducer.Said(line, Answer(id, word, fields, body)), now, kind)
+    def say(self, line, word, now=10, id="a" * 16, kind=None, **known):
+        return self.do(reducer.Said(line, Answer(id, word, **known)), now, kind)
 
 
 @pytest.fixture
@@ -270,26 +295,57 @@
 
 def test_pages_are_asked_for_at_once_and_put_in_order(rig):
     line = rig.sent()
-    asked = rig.say(line, "ACK", parts="3", body=b"1\t1\t1\n", kind=reducer.Send)
+    asked = rig.say(line, "ACK", parts=3, body=b"1\t1\t1\n", kind=reducer.Send)
     assert [e.command for e in asked] == [Turn("a" * 16, 1), Turn("a" * 16, 2)]
-    assert not rig.say(line, "BLOCK", part_no="2", body=b"3\t3\t3\n", kind=reducer.Finish)
-    (done,) = rig.say(line, "BLOCK", part_no="1", body=b"2\t2\t2\n", kind=reducer.Finish)
+    assert not rig.say(line, "BLOCK", part=2, body=b"3\t3\t3\n", kind=reducer.Finish)
+    (done,) = rig.say(line, "BLOCK", part=1, body=b"2\t2\t2\n", kind=reducer.Finish)
     assert done.rows == [[b"1"] * 3, [b"2"] * 3, [b"3"] * 3]
     assert not rig.reducer.queries and not rig.reducer.asking
 
 
-def test_result_that_cannot_be_read_is_an_error_and_not_passed_on(rig):
+def test_spoilt_page_ends_its_connection_and_is_not_passed_on(rig):
     line = rig.sent()
-    assert not rig.say(line, "ACK", parts="1", body=b"1\t1\n", kind=reducer.Finish)
-    assert not any(leg.query.answered for one in rig.reducer.lines.values() for leg in one.legs.values())
+    other = rig.reducer.lines[line]
+    effects = rig.say(line, "ACK", body=b"1\t1\n")
+    assert reducer.HangUp(line) in effects and not [e for e in effects if isinstance(e, reducer.Finish)]
+    assert line not in rig.reducer.lines and other.legs == {}
+
+
+def test_page_that_comes_twice_or_was_not_asked_for_changes_nothing(rig):
+    line = rig.sent()
+    rig.say(line, "BLOCK", part=1, body=b"0\t0\t0\n")
+    rig.say(line, "ACK", parts=3, body=b"1\t1\t1\n")
+    rig.say(line, "ACK", parts=1, body=b"0\t0\t0\n")
+    rig.say(line, "BLOCK", part=2, body=b"3\t3\t3\n")
+    rig.say(line, "BLOCK", part=2, body=b"0\t0\t0\n")
+    rig.say(line, "BLOCK", part=9, body=b"0\t0\t0\n")
+    (done,) = rig.say(line, "BLOCK", part=1, body=b"2\t2\t2\n", kind=reducer.Finish)
+    assert done.rows == [[b"1"] * 3, [b"2"] * 3, [b"3"] * 3]
+
+
+def test_connection_on_which_nothing_is_heard_is_cut_and_its_queries_go_elsewhere(rig):
+    line = rig.sent(group="report")
+    engine = rig.reducer.lines[line].engine
+    for now in range(0, rig.reducer.silence, 1000):
+        assert not rig.do(reducer.Tick(), now, reducer.HangUp)
+    effects = [e for now in (4, 5) for e in rig.do(reducer.Tick(), rig.reducer.silence * now // 4 + 2)]
+    assert reducer.HangUp(line) in effects
+    assert [e for e in effects if isinstance(e, reducer.Connect) and e.port != engine]
+
+
+def test_fault_in_one_event_leaves_the_effects_before_it(rig):
+    rig.reducer.module.take = lambda *_: 1 / 0
+    (note,) = [e for e in rig.ask() if isinstance(e, reducer.Note)]
+    assert note.event == "fault" and "ZeroDivisionError" in note.fields["trace"]
+    assert [type(e) for e in rig.do(reducer.Tick(), 5 * SECOND, reducer.Kill)] == [reducer.Kill]
 
 
 @pytest.mark.parametrize(
     "event, result",
     [
-        (lambda line: reducer.Said(line, Answer("a" * 16, "AGAIN", {}, b"")), "saturated"),
-        (lambda line: reducer.Said(line, Answer("a" * 16, "EIO", {}, b"")), "errored"),
-        (lambda line: reducer.Said(line, Answer("a" * 16, "STALE", {}, b"")), "superseded"),
+        (lambda line: reducer.Said(line, Answer("a" * 16, "AGAIN")), "saturated"),
+        (lambda line: reducer.Said(line, Answer("a" * 16, "EIO")), "errored"),
+        (lambda line: reducer.Said(line, Answer("a" * 16, "STALE")), "superseded"),
         (lambda line: reducer.Lost(line, "reset"), "severed"),
     ],
 )
@@ -318,9 +374,9 @@
 def test_silent_connection_gets_nothing_new(rig):
     line = rig.sent()
     peer = rig.reducer.peers[rig.reducer.lines[line].engine]
-    rig.reducer.now = 2 * 2500 + 1
+    rig.reducer.now = rig.reducer.silence + 1
     assert rig.reducer.line_for(peer, None).number != line
-    rig.say(line, "EVENT", now=2 * 2500 + 2, why="advance", value="0.1")
+    rig.say(line, "EVENT", now=rig.reducer.now, topic=1, value=0.1)
     assert rig.reducer.line_for(peer, None).number == line
 
 
@@ -329,7 +385,7 @@
     effects = rig.do(reducer.Tick(), SECOND - reducer.LEAST_LATE - rig.reducer.module.margin)
     assert NeverMind("a" * 16) in [e.command for e in effects if isinstance(e, reducer.Send)]
     assert [type(e) for e in effects if isinstance(e, reducer.Defer | reducer.Kill)] == [reducer.Defer]
-    assert not rig.say(line, "ACK", now=SECOND, parts="1", kind=reducer.Finish)
+    assert not rig.say(line, "ACK", now=SECOND, kind=reducer.Finish)
 
 
 def test_drain_told_while_a_connection_comes_up_stops_the_send(rig):
@@ -345,7 +401,7 @@
 def test_client_that_leaves_gets_nothing_and_the_answer_is_shut(rig):
     line = rig.sent()
     assert not rig.do(reducer.Left(1), 5, reducer.Kill | reducer.Defer)
-    assert not rig.say(line, "ACK", parts="1", kind=reducer.Finish)
+    assert not rig.say(line, "ACK", kind=reducer.Finish)
     assert not rig.reducer.queries
 
 
