Engines that are gone are forgotten; fields held to the protocol; busy connections parted

Now: an engine that is gone with nothing out is forgotten (rule 2: a keyed repeat is not allowed where the first engine's cell is unknown); numbers and digits as the protocol writes them, estimates up to what the largest engine could do in the longest time; another connection from four submissions on, within the share of descriptors; 20 lines of one event a second, the rest counted; a line 'engines' sets what is believed beside what is open.

--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -110,6 +110,7 @@
     cores: int = 1
     ram: float = 0.0
     ready: bool = False
+    gone: bool = False
     started: Time = 0  # as told, or as guessed from broken connections
     threads: int = 0  # of this router's submissions that are out
     memory: float = 0.0
@@ -136,7 +137,7 @@
         self.kind, self.cell, self.zone = entry.kind, entry.cell, entry.zone
         self.cores = per_kind("domain.kind_cores", 1)
         self.ram = per_kind("domain.ram_of_kind_mb", 0.0)
-        self.ready = entry.state == "Ready"
+        self.ready, self.gone = entry.state == "Ready", entry.state == "Gone"
 
     def began(self, now: Time, q: Query, sub: Submission, usual: float) -> None:
         q.legs.append(sub)
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -96,8 +96,9 @@
             e.listed(entry, self.catalog)
             if entry.started > e.started:
                 e.started, e.fails, e.rest_until = entry.started, 0, now
-        for e in self.engines.values():
-            e.ready = e.ready and (mode == "Partial" or e.id in listed)
+        for e in [e for e in self.engines.values() if mode != "Partial" and e.id not in listed]:
+            e.ready, e.gone = False, True
+        self.engines = {n: e for n, e in self.engines.items() if e.out or not e.gone}  # new ids come all day
 
     def take(self, now, query, group, due, tables=None, tenant=0, cost=None, memory=0.0, key=None):
         self.now = now
@@ -269,8 +270,8 @@
         if not e.ready or not fits or (q.legs and not self.may_run_again(q)):
             return False
         if q.ran and g.effect == "tokened" and g.repeats != "all":
-            first = self.engines[q.ran.engine]
-            if e.zone != first.zone or (g.repeats == "cell" and e.cell != first.cell):
+            first = self.engines.get(q.ran.engine)
+            if first is None or e.zone != first.zone or (g.repeats == "cell" and e.cell != first.cell):
                 return False
         return self.warm_enough(e, self.usual_work(g))
 
@@ -533,9 +534,8 @@
 
     def set_alarm(self):
         """One alarm: the next query to look at, or a sweep while something is held."""
-        times = [self.looks[0][0]] if self.looks else []
-        if self.queue or self.dash or self.lanes:
-            times.append(self.now + SWEEP)
+        held = bool(self.queue or self.dash or self.lanes)
+        times = [at for at, _, _ in self.looks[:1]] + [self.now + SWEEP] * held
         if times and (self.wake_at is None or min(times) < self.wake_at):
             self.wake_at = max(min(times), self.now + 1)
             self.planned.append(("wake", self.wake_at, "look"))
--- a/hillchute/router/log.py
+++ b/hillchute/router/log.py
@@ -6,9 +6,11 @@
 
 import os
 import time
+from collections import Counter
 
 import orjson
 
+MOST_ALIKE = 20  # lines of one event in a second; the rest is counted: a line costs what a query does
 BUFFER = 256 * 1024  # bytes held for a slow reader: some seconds of lines
 
 
@@ -18,14 +20,24 @@
         self.descriptor = descriptor
         self.buffer = bytearray()
         self.dropped = 0
+        self.second, self.written = 0, Counter()  # lines of each event in this second
         try:
             os.set_blocking(descriptor, False)
         except OSError:
             self.descriptor = -1  # closed: there is nobody to read
 
     def write(self, event: str, **fields: object) -> None:
+        now = time.time_ns() // 100_000
+        if now - self.second >= 10_000:
+            alike = {name: n - MOST_ALIKE for name, n in self.written.items() if n > MOST_ALIKE}
+            self.second, self.written = now, Counter()
+            if alike:
+                self.write("log_alike", left_out=alike)
+        self.written[event] += 1
+        if self.written[event] > MOST_ALIKE:
+            return
         line = orjson.dumps(
-            {"time": time.time_ns() // 100_000 / 10_000, "router": self.name, "event": event, **fields},
+            {"time": now / 10_000, "router": self.name, "event": event, **fields},
             default=str,
             option=orjson.OPT_APPEND_NEWLINE | orjson.OPT_NON_STR_KEYS,
         )
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -21,6 +21,7 @@
 
 COUNT_EVERY = 10_000  # tenths of a millisecond between two lines of the log that count the answers
 LEAST_LATE: Time = 1000  # a tenth of a second: a loaded loop pauses so long without having been seen to
+TOGETHER = 4  # submissions on a connection from which on another is opened, where descriptors allow it
 FADES = 100  # a pause that was longer is forgotten at a hundredth of the time that passes
 
 # ---- events ---------------------------------------------------------------------------------------
@@ -191,6 +192,12 @@
         self.tick: Time = max(1, catalog.get("tick", 1))
         self.tokened = {n for n in self.groups.values() if catalog.get(f"groups.{n}.effect") == "tokened"}
         self.ordered = {n for n in self.groups.values() if catalog.get(f"groups.{n}.keep_order")}
+        times = [catalog.get(f"groups.{n}.queue_timeout", 0) for n in self.groups.values()]
+        self.longest: Time = max(times, default=0) or 10**9
+        self.cores, self.ram = (
+            max(value) if isinstance(value, list) else value
+            for value in (catalog.get("domain.kind_cores", 1), catalog.get("domain.ram_of_kind_mb") or 10**9)
+        )
         self.most_lines = most_lines
         self.now: Time = 0
         self.told_to = 0  # number of the last event of the list of engines
@@ -329,6 +336,13 @@
             return "field nonce is absent"
         if group in self.ordered and request.key is None:
             return "field entity is absent"
+        # More than any engine could do in the longest time: no estimate, and the averages must not hear it.
+        if request.patience > self.longest:
+            return "field patience is out of range"
+        if (request.cost or 0) > self.longest * self.cores:
+            return "field weight is out of range"
+        if request.memory > self.ram:
+            return "field mb is out of range"
         return None
 
     def overdue(self, id: str) -> None:
@@ -370,13 +384,27 @@
     def count_up(self) -> None:
         """One line a second for all answers, not one each: the log is read by people."""
         answers = {f"{group} {how}": [n, round(ms / n, 1)] for (group, how), (n, ms) in self.counts.items()}
-        lines = {event_bus.engine_name(e): len(peer.lines) for e, peer in self.peers.items()}
+        self.note("answers", count_and_mean_ms=answers, open=len(self.asking), late=self.late / 10)
         self.note(
-            "answers", count_and_mean_ms=answers, open=len(self.asking), lines=lines, late=self.late / 10
+            "engines", **{event_bus.engine_name(e): self.picture(peer) for e, peer in self.peers.items()}
         )
         self.counts.clear()
         self.counted_at = self.now
 
+    def picture(self, peer: Peer) -> dict[str, object]:
+        """What is believed of an engine, beside what is open on the connections to it."""
+        known = self.module.engines[peer.engine]
+        return {
+            "ready": peer.ready,
+            "lines": len(peer.lines),
+            "open": sum(len(line.legs) + len(line.waiting) for line in peer.lines.values()),
+            "out": known.out,
+            "reported": known.reported and round(known.reported, 1),
+            "granted": known.granted,
+            "age_ms": (self.now - known.reported_at) / 10,
+            "rests_ms": max(0, known.rest_until - self.now) / 10,
+        }
+
     def forget(self, q: Query) -> None:
         if q.answered and all(leg.over for leg in q.legs):
             self.queries.pop(q.request.id, None)
@@ -545,15 +573,19 @@
         Never the one on which an earlier submission of the same query went, so that no answer is taken for
         another's; never one that has fallen silent, since nothing would come of it.
         """
-        coming = None
+        best = coming = None
         for line in peer.lines.values():
             if len(line.legs) + len(line.waiting) >= self.streams:
                 continue
             if not line.up:
                 coming = coming or line
             elif not self.silent(line) and not (q and any(leg.line is line for leg in q.legs)):
-                return line
-        return coming or self.open_line(peer)
+                best = line if best is None or len(line.legs) < len(best.legs) else best
+        # A break takes all with it that is open on its connection: the busy ones are parted in good time.
+        share = self.most_lines // (2 * len(self.peers))
+        if best and not coming and len(best.legs) >= TOGETHER and len(peer.lines) < share:
+            self.open_line(peer)
+        return best or coming or self.open_line(peer)
 
     def silent(self, line: Line) -> bool:
         """Something is open on it, and nothing has come for longer than notes and probes take."""
@@ -639,7 +671,8 @@
 
     def forget_line(self, line: Line) -> None:
         self.lines.pop(line.number, None)
-        self.peers[line.engine].lines.pop(line.number, None)
+        if line.engine in self.peers:
+            self.peers[line.engine].lines.pop(line.number, None)
 
     # ---- the list of engines ----------------------------------------------------------------------
 
@@ -662,6 +695,11 @@
             for engine, peer in self.peers.items():
                 peer.ready = peer.ready and engine in listed
         self.module.roster(self.now, news.mode, [entry.listing for entry in news.entries])
+        for engine, peer in list(self.peers.items()):
+            if engine not in self.module.engines:  # forgotten there: gone, with nothing out
+                for line in list(peer.lines.values()):
+                    self.drop(line)
+                del self.peers[engine]
         states = {event_bus.engine_name(e): entry.listing.state for e, entry in listed.items()}
         self.note("roster", number=news.number, mode=news.mode, engines=states)
 
--- a/hillchute/router/statement.py
+++ b/hillchute/router/statement.py
@@ -7,11 +7,10 @@
 import re
 from typing import NamedTuple
 
-LONGEST_KEY = 256  # bytes of a field's value; the protocol's own are 32 at most
-
 WANTED = re.compile(rb"\s*/\*(.*?)\*/", re.DOTALL)
 HEX16 = re.compile(r"[0-9a-f]{16}", re.IGNORECASE)
-WORD = re.compile(r"[^\s,]+")
+HEX = re.compile(r"[0-9a-f]{1,64}", re.IGNORECASE)  # the protocol's own are 16 or 32 digits
+FIGURE = re.compile(r"-?[0-9]{1,18}(\.[0-9]{1,18})?([eE][+-]?[0-9]{1,3})?")
 
 
 class Misread(Exception):
@@ -33,18 +32,17 @@
 
 
 def number(name: str, text: str, least: float, most: float) -> float:
-    try:
-        value = float(text)
-    except ValueError:
-        raise Misread(f"field {name} is not a number: {text[:40]}") from None
-    if not least <= value <= most:  # also false for nan
+    if not FIGURE.fullmatch(text):
+        raise Misread(f"field {name} is not a number: {text[:40]}")
+    value = float(text)
+    if not least <= value <= most:
         raise Misread(f"field {name} is out of range: {text[:40]}")
     return value
 
 
-def word(name: str, text: str | None) -> str | None:
-    if text is not None and (len(text) > LONGEST_KEY or not WORD.fullmatch(text)):
-        raise Misread(f"field {name} is not one word")
+def digits(name: str, text: str | None) -> str | None:
+    if text is not None and not HEX.fullmatch(text):
+        raise Misread(f"field {name} is not hex digits: {text[:40]}")
     return text
 
 
@@ -77,13 +75,13 @@
     return Request(
         id=fields["trace"],
         group=fields["route"],
-        patience=int(number("patience", fields["patience"], 0, 86_400_000) * 10),
+        patience=int(number("patience", fields["patience"], 1, 86_400_000) * 10),
         statement=statement,
         tables=table_group(statement),
-        token=word("nonce", fields.get("nonce")),
+        token=digits("nonce", fields.get("nonce")),
         cost=round(number("weight", fields["weight"], 0, 1e9) * 10) if "weight" in fields else None,
         memory=number("mb", fields["mb"], 0, 1e9) if "mb" in fields else 0.0,
-        key=word("entity", fields.get("entity")),
+        key=digits("entity", fields.get("entity")),
     )
 
 
@@ -93,7 +91,7 @@
     rb"""|`(?P<quoted>(?:[^`]|``)*)`|(?P<word>[A-Za-z0-9_$\x80-\xff]+)|(?P<dot>\.)|\s+|[^\s'"/\-#`A-Za-z0-9_$\x80-\xff.]+|.""",
     re.DOTALL,
 )
-SCHEMA = re.compile(rb".*_([0-9]+)", re.DOTALL)
+SCHEMA = re.compile(rb".*_([0-9]{1,9})", re.DOTALL)
 BEFORE_TABLES = {b"from", b"join", b"into", b"update", b"table", b"overwrite", b"only", b"ignore"}
 
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -15,7 +15,7 @@
 from hillchute.router import config, engine_wire, event_bus, mysql, reducer, seats, service, statement
 from hillchute.router.engine_wire import Answer, Hurry, NeverMind, Turn, Want
 from hillchute.router.lifecycle import Lifecycle, Phase
-from hillchute.router.log import Log
+from hillchute.router.log import MOST_ALIKE, Log
 
 COMMENT = b"/* route=report,trace=9b1f03aa5c7e2d41,patience=1500,weight=820.0,mb=96 */ "
 SELECT = b"SELECT day, count(*), max(note) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day"
@@ -42,6 +42,10 @@
         ("route=report,route=lookup,trace=9b1f03aa5c7e2d41,patience=5", "route"),
         ("route=report,trace=9b1f03aa5c7e2d41,patience=5,weight=", "weight"),
         ("route=report,trace=9b1f03aa5c7e2d41,patience=5,entity=a b", "entity"),
+        ("route=report,trace=9b1f03aa5c7e2d41,patience=5,nonce=x\0y", "nonce"),
+        ("route=report,trace=9b1f03aa5c7e2d41,patience=5,weight=1_0", "weight"),
+        ("route=report,trace=9b1f03aa5c7e2d41,patience=5,mb=inf", "mb"),
+        ("route=report,trace=9b1f03aa5c7e2d41,patience=0", "patience"),
     ],
 )
 def test_misread_names_the_field(fields, named):
@@ -60,6 +64,7 @@
         (b"SELECT * FROM staging.x JOIN sales_8 . y", 8),
         (b"# from a_1.b\nUPDATE sales_9.orders SET note = 'z'", 9),
         (b"SELECT 1.5 FROM orders", None),
+        (b"SELECT 1 FROM sales_" + b"9" * 5000 + b".orders", None),
     ],
 )
 def test_table_group(sql, tables):
@@ -274,8 +279,8 @@
         effects = self.reducer.reduce(event, now)
         return [e for e in effects if kind is None or isinstance(e, kind)]
 
-    def ask(self, group="lookup", id="a" * 16, session=1, now=0, patience=5 * SECOND, **known):
-        request = statement.Request(id, group, patience, b"SELECT 1", 4, cost=1000, **known)
+    def ask(self, group="lookup", id="a" * 16, session=1, now=0, patience=5 * SECOND, cost=1000, **known):
+        request = statement.Request(id, group, patience, b"SELECT 1", 4, cost=cost, **known)
         return self.do(reducer.Asked(session, request, now), now)
 
     def sent(self, now=0, **known):
@@ -333,6 +338,38 @@
     assert [e for e in effects if isinstance(e, reducer.Connect) and e.port != engine]
 
 
+def test_busy_connection_is_parted_in_good_time_where_descriptors_allow_it():
+    rig = Rig()
+    rig.reducer.most_lines = 24  # two for each of six engines, and as many again for new ones
+    peer = rig.reducer.peers[1]
+    for n in range(2 * reducer.TOGETHER):
+        line = rig.reducer.line_for(peer, None)
+        line.up, line.legs[str(n)] = True, reducer.Leg(None, 0, 1, 0, 0)
+        for other in peer.lines.values():
+            other.up = True
+    assert sorted(len(line.legs) for line in peer.lines.values()) == [
+        reducer.TOGETHER - 1,
+        reducer.TOGETHER + 1,
+    ]
+    assert rig.reducer.line_for(peer, None) and len(peer.lines) == 2
+
+
+def test_engine_that_is_gone_is_forgotten_once_nothing_is_out_there(rig):
+    def told(number, state):
+        entry = event_bus.Entry(Listing(engine, 0, 0, 0, 0, state, 1.0), "127.0.0.1", engine)
+        rig.do(reducer.Told(event_bus.News(number, "Partial", (entry,))), 5)
+
+    line = rig.sent()
+    engine = rig.reducer.lines[line].engine
+    told(2, "Gone")
+    assert engine in rig.reducer.peers
+    rig.do(reducer.Lost(line, "reset"), 10)
+    told(3, "Gone")
+    assert engine not in rig.reducer.peers and engine not in rig.reducer.module.engines
+    told(4, "Ready")
+    assert rig.reducer.peers[engine].ready
+
+
 def test_fault_in_one_event_leaves_the_effects_before_it(rig):
     rig.reducer.module.take = lambda *_: 1 / 0
     (note,) = [e for e in rig.ask() if isinstance(e, reducer.Note)]
@@ -414,9 +451,17 @@
 
 @pytest.mark.parametrize(
     "known, named",
-    [({"group": "x"}, "route"), ({"group": "load"}, "nonce"), ({"group": "load", "token": "t"}, "entity")],
+    [
+        ({"group": "x"}, "route"),
+        ({"group": "load"}, "nonce"),
+        ({"group": "load", "token": "t"}, "entity"),
+        ({"patience": 20 * SECOND}, "patience"),
+        ({"cost": 9 * SECOND * 8}, "weight"),
+        ({"memory": 1001.0}, "mb"),
+    ],
 )
-def test_query_that_does_not_fit_is_answered_with_its_field(rig, known, named):
+def test_query_that_does_not_fit_is_answered_with_its_field(known, named):
+    rig = Rig(groups__2__queue_timeout=9 * SECOND - 1, domain__ram_of_kind_mb=[500, 1000])
     (answer,) = [e for e in rig.ask(**known) if isinstance(e, reducer.Kill)]
     assert named in answer.why
     assert not rig.reducer.queries
@@ -664,3 +709,14 @@
     monkeypatch.setattr(router, "carry_out", carry_out)
     router.handle("first")
     assert done == ["first one", "first two", "second one", "second two"]
+
+
+def test_lines_alike_are_counted_not_written():
+    log = Log("n1", -1)
+    for _ in range(100):
+        log.write("misread", why="x")
+    log.second = 0
+    log.write("misread", why="x")
+    lines = [orjson.loads(line) for line in log.buffer.splitlines()]
+    assert len(lines) == MOST_ALIKE + 2
+    assert lines[-2]["left_out"] == {"misread": 100 - MOST_ALIKE}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -71,13 +71,15 @@
 
 @pytest.mark.parametrize("state", ["Terminating", "Gone"])
 def test_drained_engine_gets_nothing_new(desk, state):
+    e = desk.router.engines[1]
     desk.list(1, mode="Partial", state=state)
-    assert not desk.router.allowed(desk.router.engines[1], desk.take(LOOKUP))
+    assert not desk.router.allowed(e, desk.take(LOOKUP))
 
 
 def test_engine_missing_from_a_complete_list_is_gone(desk):
+    e = desk.router.engines[1]
     desk.list(2, 3)
-    assert not desk.router.engines[1].ready
+    assert not e.ready and 1 not in desk.router.engines
 
 
 def test_cold_engine_gets_this_routers_share_only(desk):
