--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -21,7 +21,6 @@
 
 COUNT_EVERY = 10_000  # tenths of a millisecond between two lines of the log that count the answers
 LEAST_LATE: Time = 1000  # a tenth of a second: a loaded loop pauses so long without having been seen to
-TOGETHER = 4  # submissions on a connection from which on another is opened, where descriptors allow it
 FADES = 100  # a pause that was longer is forgotten at a hundredth of the time that passes
 
 # ---- events ---------------------------------------------------------------------------------------
@@ -237,27 +236,33 @@
             # Whatever event comes first after a pause finds the timers late, not only the one that rings.
             self.late = max(now - self.due[0][0], LEAST_LATE, self.late - (now - self.late_at) // FADES)
             self.late_at = now
-        self.contained(self.takes[type(event)], *event)
+        try:
+            self.takes[type(event)](*event)
+        except Exception:
+            self.fault(type(event).__name__)
         while self.due and self.due[0][0] <= now:
             _, _, call, names = heappop(self.due)
-            self.contained(call, *names)
             self.informed = True
+            try:
+                call(*names)
+            except Exception:
+                self.fault(call.__name__)
         if self.informed:  # a page or a note alone tells the module nothing that it decides by
-            self.contained(self.pull)
+            self.pull()
         self.set_alarm()
         return self.effects
 
-    def contained(self, call: Callable[..., None], *names: object) -> None:
-        """A fault ends this call, not the program; the effects before it stand."""
-        try:
-            call(*names)
-        except Exception:
-            self.note("fault", what=call.__name__, trace=traceback.format_exc(limit=-8))
+    def fault(self, what: str) -> None:
+        """A fault ends the call that raised it, not the program; the effects before it stand."""
+        self.note("fault", what=what, trace=traceback.format_exc(limit=-8))
 
     def pull(self) -> None:
         """Takes decisions until there is none."""
-        while (decision := self.module.decide(self.now)) is not None:
-            self.carry_out(decision)
+        try:
+            while (decision := self.module.decide(self.now)) is not None:
+                self.carry_out(decision)
+        except Exception:
+            self.fault("decision")
 
     def carry_out(self, decision: tuple) -> None:
         match decision:
@@ -573,19 +578,15 @@
         Never the one on which an earlier submission of the same query went, so that no answer is taken for
         another's; never one that has fallen silent, since nothing would come of it.
         """
-        best = coming = None
+        coming = None
         for line in peer.lines.values():
             if len(line.legs) + len(line.waiting) >= self.streams:
                 continue
             if not line.up:
                 coming = coming or line
             elif not self.silent(line) and not (q and any(leg.line is line for leg in q.legs)):
-                best = line if best is None or len(line.legs) < len(best.legs) else best
-        # A break takes all with it that is open on its connection: the busy ones are parted in good time.
-        share = self.most_lines // (2 * len(self.peers))
-        if best and not coming and len(best.legs) >= TOGETHER and len(peer.lines) < share:
-            self.open_line(peer)
-        return best or coming or self.open_line(peer)
+                return line
+        return coming or self.open_line(peer)
 
     def silent(self, line: Line) -> bool:
         """Something is open on it, and nothing has come for longer than notes and probes take."""
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -27,7 +27,12 @@
 from hillchute.router.log import Log
 from hillchute.router.seats import Seats
 
-READ = 16_384  # bytes read at once
+READ = 65_536  # bytes read at once from an engine
+CLIENT_READ = 16_384  # the same from a client: there are many
+TURNS = 4  # full reads in a row; then others get their turn
+ACCEPTS = 32  # connections taken in a row: one by one, a burst would wait longer than a key's order allows
+    32  # connections taken in a row; fewer would let a burst of them wait past what a key's order allows
+)
 HELD = 262_144  # bytes waiting for a peer that does not read; then its connection is cut
 SWEEP = 0.1  # seconds between two looks for sessions too long in one step
 BUS_SILENCE = 2.5  # seconds without the frame that the protocol promises each second: a new connection
@@ -50,12 +55,14 @@
     Writes go out at once where the socket takes them: a task for each would cost more than the query itself.
     """
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, size: int = READ) -> None:
         self.sock = sock
+        self.size = size
         self.left = bytearray()
         self.draining = False
         self.drained: Callable[[], None] | None = None
-        self.eager = False  # whether more may have come: then others get their turn first
+        self.more = True  # whether the last read was full, so that more is likely there
+        self.turns = 0  # full reads in a row
         self.since = 0  # when what was read last had come, by the system's clock
 
     def put(self, data: bytes, tasks: anyio.abc.TaskGroup) -> None:
@@ -89,17 +96,19 @@
 
     async def get(self) -> bytes:
         """What has come; empty once the other side has closed or the connection is broken."""
-        if self.eager:
-            await anyio.lowlevel.checkpoint()  # a peer at full speed must not hold up the others
         while len(self.left) < HELD:
             try:
-                try:
-                    data = self.sock.recv(READ)
-                    self.eager = True
-                    return data
-                except BlockingIOError:
-                    self.eager = False
+                if not self.more:
                     await anyio.wait_readable(self.sock)
+                elif self.turns >= TURNS:
+                    self.turns = 0
+                    await anyio.lowlevel.checkpoint()  # a peer at full speed must not hold up the others
+                data = self.sock.recv(self.size)
+                self.more = len(data) == self.size
+                self.turns = self.turns + 1 if self.more else 0
+                return data
+            except BlockingIOError:
+                self.more = False
             except GONE:
                 break
         return b""
@@ -341,6 +350,8 @@
 
     async def accept(self, listener: socket.socket) -> None:
         while True:
+            if self.sessions % ACCEPTS == 0:
+                await anyio.lowlevel.checkpoint()  # those who came before have their turn
             try:
                 sock, _ = listener.accept()
             except BlockingIOError:
@@ -358,7 +369,7 @@
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.sessions += 1
-            client = Client(self.sessions, Pipe(sock), self.station.packet)
+            client = Client(self.sessions, Pipe(sock, CLIENT_READ), self.station.packet)
             if self.make_room():
                 first = client.session.greeting()
             elif self.seats.overfull:
@@ -370,7 +381,6 @@
             self.clients[self.sessions] = client
             self.seat(client)
             self.tasks.start_soon(self.guarded, self.client(client), f"session {self.sessions}")
-            await anyio.lowlevel.checkpoint()  # those who came before have their turn
 
     def make_room(self) -> bool:
         """A place for one more session. Who has written something that was not read yet keeps its own."""
