--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -31,8 +31,6 @@
 CLIENT_READ = 16_384  # the same from a client: there are many
 TURNS = 4  # full reads in a row; then others get their turn
 ACCEPTS = 32  # connections taken in a row: one by one, a burst would wait longer than a key's order allows
-    32  # connections taken in a row; fewer would let a burst of them wait past what a key's order allows
-)
 HELD = 262_144  # bytes waiting for a peer that does not read; then its connection is cut
 SWEEP = 0.1  # seconds between two looks for sessions too long in one step
 BUS_SILENCE = 2.5  # seconds without the frame that the protocol promises each second: a new connection
