--- a/hillchute/decision/interface.py
+++ b/hillchute/decision/interface.py
@@ -39,6 +39,8 @@
 
     def roster(self, now: Time, mode: str, listings: Iterable[Listing]) -> None: ...
 
+    def welcome(self, now: Time, group: int, late: float) -> bool: ...  # late: queries are read so late now
+
     def take(
         self,
         now: Time,
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -47,6 +47,7 @@
 BACKLOG = 3.0  # pressure when the queue's head has waited all its slack: few start then in time
 SPARE = 0.2  # share of the sessions: with fewer free, those who wait outside count more than those inside
 DEAR = 2.0  # times the mean time for its value, over one, that a query may hold one then; less as they end
+MOST_LATE = 100 * MILLISECOND  # queries read so late: the margin that answers have at the least
 STEEP = 3  # at half that pressure eight times the mean still gets in, at twice an eighth of it
 
 WAITING = ("lane", "queue", "dash", "behind")  # places of a query that stands in a line here
@@ -76,6 +77,7 @@
         self.probe_credit, self.probe_at = len(self.groups), 0
         self.probes = catalog.get("report.via") == "probe" and catalog.get("limits.probes", False)
         self.price = self.dear = 0.0  # mean work for a value of one, as asked; and mean time that it took
+        self.worth = 0.0  # mean value of a query, as asked
         self.work = self.span = 0.0  # core time of all submissions, and their time alone
         self.held, self.mine = None, 0.0  # mean threads: a core's as reported, our own on an engine then
         self.recent = Sample()  # submissions of late
@@ -100,6 +102,14 @@
             e.ready, e.gone = False, True
         self.engines = {n: e for n, e in self.engines.items() if e.out or not e.gone}  # new ids come all day
 
+    def welcome(self, now, group, late):
+        """Guards the loop of this router: it reads late when its core is full, and what it then does late
+        can't be taken back. Every query costs the loop alike, so those of least value go first, before they
+        are read whole. Does harm where a pause that is over still counts: for some ten queries."""
+        value = self.groups[group].value
+        self.worth += SMOOTH * (value - self.worth) if self.worth else value
+        return late < MOST_LATE * min(1.0, value / self.worth)
+
     def take(self, now, query, group, due, tables=None, tenant=0, cost=None, memory=0.0, key=None):
         self.now = now
         start = now - max(TRAFFIC_SPAN, self.catalog.get("guarantees.look_back") or 0) - 2
--- /dev/null
+++ b/hillchute/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Sql engines: one package a protocol."""
--- /dev/null
+++ b/hillchute/fronts/mysql/door.py
@@ -0,0 +1,240 @@
+"""The MySQL front: clients' sessions on sockets, from the first connection to the last byte.
+
+Owns the listener, the sessions, their places and their steps. Must never decide what is answered nor keep a
+query's state: what clients ask goes into the rounds, what they give up is told, answers come from outside.
+"""
+
+import socket
+from collections.abc import Callable
+
+from hillchute.fronts.mysql import packets
+from hillchute.fronts.seats import Seats
+from hillchute.net.pipe import Pipe
+from hillchute.net.poller import Poller
+from hillchute.router.log import Log
+from hillchute.router.rounds import Rounds
+from hillchute.statements import request as statements
+
+READ = 16_384  # bytes read at once from a client: there are many
+NUMBERS = 1 << 32  # of sessions, as the protocol's greeting has room for
+
+
+class Client:
+    """One session, and what is known of it beside its packets."""
+
+    __slots__ = ("session", "pipe", "served", "free", "number")
+
+    def __init__(self, number: int, longest: int) -> None:
+        self.number = number
+        self.session = packets.Session(number, longest)
+        self.pipe: Pipe
+        self.served = 0
+        self.free = 0  # since when nothing of it is open
+
+    def unread(self) -> bool:
+        return self.pipe.unread()
+
+
+class Door:
+    """Sessions by number. `left` is called with the session of a client that gave up, or is gone."""
+
+    def __init__(
+        self,
+        places: int,
+        packet: int,
+        poller: Poller,
+        rounds: Rounds,
+        log: Log,
+        clock: Callable[[], int],
+        left: Callable[[int], None],
+    ) -> None:
+        self.seats = Seats(places)
+        self.packet = packet
+        self.poller, self.rounds, self.log, self.clock, self.left = poller, rounds, log, clock, left
+        self.clients: dict[int, Client] = {}
+        self.listener: socket.socket | None = None
+        self.served = 0
+        # Numbers of sessions go on from the clock, four to a millisecond: a client may still name one from
+        # before a restart, and bursts take more than one in a millisecond.
+        self.sessions = clock() * 4 // 10 % NUMBERS
+
+    # ---- new connections --------------------------------------------------------------------------
+
+    def open(self, listener: socket.socket) -> None:
+        listener.setblocking(False)
+        self.listener = listener
+        self.poller.add(listener, self)
+
+    def close(self) -> None:
+        """No new connection after this one; what the kernel holds must have been taken before."""
+        if self.listener is not None:
+            self.poller.remove(self.listener)
+            self.listener.close()
+            self.listener = None
+
+    def accept(self, most: int) -> bool:
+        """Takes up to so many connections; whether the kernel holds no more."""
+        for _ in range(most):
+            if self.listener is None:
+                return True
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                return True
+            except OSError as fault:  # out of descriptors, or a connection that broke before it was taken
+                self.log.write("fault", what="accept", why=str(fault))
+                self.poller.remove(self.listener)  # looked at again by the next sweep, not at every round
+                return False
+            self.rounds.heard = self.clock()
+            self.welcome(sock)
+        return False
+
+    def welcome(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sessions = (self.sessions + 1) % NUMBERS
+        room = self.make_room()
+        if not room and self.seats.overfull:
+            sock.close()
+            return
+        client = Client(self.sessions, self.packet)
+        client.pipe = Pipe(sock, self.poller, client, READ)
+        self.clients[client.number] = client
+        if room:
+            client.pipe.put(client.session.greeting())
+        else:
+            client.pipe.put(client.session.close(packets.REFUSED, "too many sessions"))
+        self.stand(client)
+
+    def make_room(self) -> bool:
+        """A place for one more session. Who has written something that was not read yet, or is owed bytes of
+        an answer, keeps its own: the answer is whole only once the kernel has taken it."""
+        if not self.seats.full:
+            return True
+        for number in self.seats.give_way():
+            client = self.clients[number]
+            if not client.unread() and not (client.pipe.left and not client.session.over):
+                self.drop(client)
+                return True
+        return False
+
+    # ---- a session --------------------------------------------------------------------------------
+
+    def ready(self, client: Client, readable: bool, writable: bool) -> None:
+        """Its socket has something to read, or takes bytes again."""
+        if writable and not client.pipe.closed:
+            client.pipe.flush()
+            self.commands(client)
+        if readable and not client.pipe.closed:
+            self.read(client)
+
+    def read(self, client: Client) -> None:
+        data = client.pipe.read()
+        if data is None:
+            return
+        if not data:
+            self.drop(client)
+            return
+        now = self.clock()
+        self.rounds.heard = now
+        if client.session.over:
+            return  # read and thrown away, so that what was said last is not
+        out = client.session.feed(data, client.pipe.came(now))
+        if out:
+            client.pipe.put(out)
+        self.commands(client)
+
+    def commands(self, client: Client) -> None:
+        """Acts on the commands whose turn has come."""
+        session = client.session
+        while not client.pipe.left:  # one answer at a time: the next command waits until this one is read
+            command, out = session.command()
+            if out:
+                client.pipe.put(out)
+            match command:
+                case None:
+                    break
+                case packets.Query():
+                    self.ask(client, command)
+                case packets.KillQuery(number):
+                    known = number in self.clients
+                    if known:
+                        self.left(number)
+                    unknown = packets.NO_SUCH_THREAD, "no such session"
+                    client.pipe.put(session.ok() if known else session.failed(*unknown))
+                case packets.Ping():
+                    client.pipe.put(session.ok())
+        self.stand(client)
+
+    def ask(self, client: Client, query: packets.Query) -> None:
+        try:
+            request = statements.read(query.text)
+        except statements.Misread as fault:
+            self.log.write("misread", session=client.number, why=str(fault))
+            client.pipe.put(client.session.failed(packets.BAD_STATEMENT, str(fault)))
+            return
+        self.rounds.put(client.number, request, query.since, max(query.since, client.free))
+
+    def stand(self, client: Client) -> None:
+        """Tells the seats how the session stands now."""
+        session, number = client.session, client.number
+        if client.pipe.closed:
+            return
+        if session.over and not client.pipe.left:
+            client.pipe.shut_writing()
+        if session.busy and not session.over:
+            self.seats.ask(number)
+        elif session.over or not session.logged_in or session.buffer or client.pipe.left:
+            self.seats.in_step(number, self.clock())
+        else:
+            self.seats.rest(number)
+
+    def drop(self, client: Client) -> None:
+        """Ends a session: its client is gone, or must go."""
+        client.session.over = True
+        client.pipe.close()
+        if self.clients.pop(client.number, None) is not None:
+            self.seats.leave(client.number)
+            self.left(client.number)
+
+    def sweep(self) -> None:
+        """A step of the protocol that takes too long ends with an error, then with a close."""
+        if self.listener is not None:
+            self.poller.add(self.listener, self)
+        for number in self.seats.late(self.clock()):
+            client = self.clients[number]
+            if not client.session.over and not client.pipe.left:
+                client.pipe.put(client.session.close(packets.MALFORMED, "a packet was not complete in time"))
+            self.drop(client)
+
+    def hang_up(self) -> None:
+        """Ends every session from this side, and lets it read what it was answered."""
+        for client in list(self.clients.values()):
+            client.session.over = True
+            self.stand(client)
+
+    def owed(self) -> int:
+        """Sessions whose answer the kernel has not taken whole."""
+        return sum(1 for client in self.clients.values() if client.pipe.left)
+
+    # ---- answers ----------------------------------------------------------------------------------
+
+    def finish(self, session: int, rows: list[list[bytes]]) -> None:
+        if client := self.clients.get(session):
+            self.answered(client, client.session.result(rows))
+
+    def defer(self, session: int, after: int) -> None:
+        if client := self.clients.get(session):
+            hint = f"; come back after {after / 10:g} ms" if after else ""
+            self.answered(
+                client, client.session.failed(packets.REFUSED, f"not run, trying again is harmless{hint}")
+            )
+
+    def kill(self, session: int, why: str) -> None:
+        if client := self.clients.get(session):
+            self.answered(client, client.session.failed(packets.FAILED, why))
+
+    def answered(self, client: Client, data: bytes) -> None:
+        client.free = self.clock()
+        client.pipe.put(data)
+        self.commands(client)
--- a/hillchute/router/mysql.py
+++ b/hillchute/fronts/mysql/packets.py
@@ -39,6 +39,7 @@
 
 class Query(NamedTuple):
     text: bytes
+    since: int = 0  # when its last byte came
 
 
 class KillQuery(NamedTuple):
@@ -93,7 +94,7 @@
         self.number = number
         self.longest = longest  # bytes of a packet, and of all that waits here
         self.buffer = bytearray()
-        self.waiting: deque[tuple[int, bytes]] = deque()
+        self.waiting: deque[tuple[int, bytes, int]] = deque()
         self.ahead = 0  # bytes of the commands that wait
         self.sequence = 0
         self.logged_in = False
@@ -116,8 +117,8 @@
         payload += struct.pack("<HBHHB", low, UTF8, AUTOCOMMIT, high, 21) + bytes(10)
         return self.packets([payload + salt[8:] + b"\0" + b"mysql_native_password\0"])
 
-    def feed(self, data: bytes) -> bytes:
-        """Takes in bytes; what is to be written at once because of them."""
+    def feed(self, data: bytes, since: int = 0) -> bytes:
+        """Takes in bytes that came at a time; what is to be written at once because of them."""
         if self.over:
             return b""
         self.buffer += data
@@ -131,7 +132,7 @@
             self.ahead += size
             if len(self.waiting) >= MOST_WAITING or self.ahead > self.longest:
                 return self.close(MALFORMED, "too many commands ahead of their answers")
-            self.waiting.append((self.buffer[3], bytes(self.buffer[4 : 4 + size])))
+            self.waiting.append((self.buffer[3], bytes(self.buffer[4 : 4 + size]), since))
             del self.buffer[: 4 + size]
         return b""
 
@@ -145,20 +146,20 @@
         """The next command, if its turn has come, and what is to be written ahead of acting on it."""
         out = b""
         while self.waiting and not self.busy and not self.over:
-            number, payload = self.waiting.popleft()
+            number, payload, since = self.waiting.popleft()
             self.ahead -= len(payload)
             self.sequence = number + 1 & 255
             if not self.logged_in:
                 out += self.log_in(payload)
                 continue
-            command, answer = self.read(payload)
+            command, answer = self.read(payload, since)
             out += answer
             if command is not None:
                 self.busy = not isinstance(command, Quit)
                 return command, out
         return None, out
 
-    def read(self, payload: bytes) -> tuple[Command | None, bytes]:
+    def read(self, payload: bytes, since: int = 0) -> tuple[Command | None, bytes]:
         code, rest = payload[:1], payload[1:]
         match code:
             case b"\x01":
@@ -169,7 +170,7 @@
                     return None, self.packets([error(UNKNOWN_DATABASE, "unknown database")])
                 return None, self.packets([OK])
             case b"\x03":
-                return self.statement(rest)
+                return self.statement(rest, since)
             case b"\x0e":
                 return Ping(), b""
             case b"\x09":  # statistics: a plain string
@@ -182,15 +183,15 @@
                 return KillQuery(int.from_bytes(rest, "little")), b""
         return None, self.packets([error(UNKNOWN_COMMAND, "unknown command")])
 
-    def statement(self, sql: bytes) -> tuple[Command | None, bytes]:
+    def statement(self, sql: bytes, since: int = 0) -> tuple[Command | None, bytes]:
         if sql.startswith(b"/*"):
-            return Query(sql), b""
+            return Query(sql, since), b""
         plain = b" ".join(sql.rstrip(b"\0; \t\r\n").split()).lower() if len(sql) < 200 else b""
         if plain.startswith(KILL_QUERY) and plain[len(KILL_QUERY) :].isdigit():
             return KillQuery(int(plain[len(KILL_QUERY) :])), b""
         if plain.startswith((b"set ", b"use lake")) or plain in (b"begin", b"commit", b"rollback"):
             return None, self.packets([OK])  # what usual client libraries say by themselves
-        return Query(sql), b""
+        return Query(sql, since), b""
 
     def log_in(self, payload: bytes) -> bytes:
         try:
--- /dev/null
+++ b/hillchute/membership/follower.py
@@ -0,0 +1,60 @@
+"""Follows the event bus on a socket: one connection, moved when the configuration names another address.
+
+Owns when it is connected and tried again. Must never act on what it hears: news goes to whoever asked.
+"""
+
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+
+from hillchute.membership import event_bus
+from hillchute.router.log import Log
+
+READ = 65_536  # bytes read at once
+SILENCE = 2.5  # seconds without the frame that the protocol promises each second: a new connection
+RETRY = 0.25  # seconds between two tries
+GONE = (anyio.EndOfStream, anyio.ClosedResourceError, anyio.BrokenResourceError, OSError)
+
+
+class Follower:
+    def __init__(self, log: Log, news: Callable[[event_bus.News], None], last: Callable[[], int]) -> None:
+        """`last` gives the number of the last event that was taken in."""
+        self.log, self.news, self.last = log, news, last
+        self.scopes: list[anyio.CancelScope] = []  # of the connections, the newest last
+
+    def move(self, address: tuple[str, int], tasks: anyio.abc.TaskGroup) -> None:
+        """Follows the event bus at its address of now. Whoever followed it elsewhere is left once this one
+        is up: until then an old event bus may still tell something."""
+        scope = anyio.CancelScope()
+        self.scopes.append(scope)
+        tasks.start_soon(self.follow, address, scope)
+
+    async def follow(self, address: tuple[str, int], scope: anyio.CancelScope) -> None:
+        with scope:
+            while scope in self.scopes:
+                try:
+                    await self.hear(address, scope)
+                except (*GONE, TimeoutError, event_bus.Unreadable) as fault:
+                    why = str(fault) or type(fault).__name__
+                    self.log.write("bus_lost", why=why, last=self.last())
+                if scope is not self.scopes[-1]:
+                    self.scopes.remove(scope)  # the event bus has moved: nothing more is told here
+                    return
+                await anyio.sleep(RETRY)
+
+    async def hear(self, address: tuple[str, int], scope: anyio.CancelScope) -> None:
+        with anyio.fail_after(SILENCE):
+            stream = await anyio.connect_tcp(*address)
+        async with stream:
+            decoder = event_bus.Decoder()
+            await stream.send(event_bus.subscribe(self.last()))
+            while scope is not self.scopes[0]:
+                self.scopes.pop(0).cancel()
+            while True:
+                # Whole frames count, not bytes: those of later frames could feed one that never ends.
+                with anyio.fail_after(SILENCE):
+                    while not (told := list(decoder.feed(await stream.receive(READ)))):
+                        pass
+                for news in told:
+                    self.news(news)
--- a/hillchute/router/config.py
+++ b/hillchute/router/config.py
@@ -12,7 +12,7 @@
 import orjson
 
 from hillchute.catalog import flatten, translate
-from hillchute.router import event_bus
+from hillchute.membership import event_bus
 
 SECOND = 10_000  # tenths of a millisecond
 CLOSING = 3 * SECOND  # the protocol: a planned restart leaves the longest deadline, but no more than this
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -15,13 +15,13 @@
 from typing import NamedTuple
 
 from hillchute.decision.interface import Router, Time
-from hillchute.router import engine_wire as wire
-from hillchute.router import event_bus
-from hillchute.router.statement import Request
+from hillchute.engines.line import wire
+from hillchute.membership import event_bus
+from hillchute.router.lateness import Lateness
+from hillchute.statements.request import Request
 
 COUNT_EVERY = 10_000  # tenths of a millisecond between two lines of the log that count the answers
-LEAST_LATE: Time = 1000  # a tenth of a second: a loaded loop pauses so long without having been seen to
-FADES = 100  # a pause that was longer is forgotten at a hundredth of the time that passes
+AFTER_ALL: Time = 500  # 50 ms before a client's time is up a query gets an answer, whatever happens
 
 # ---- events ---------------------------------------------------------------------------------------
 
@@ -76,6 +76,20 @@
 
 Event = Asked | Left | Connected | NotConnected | Said | Lost | Told | Tick | Closing
 
+
+def told_by(event: Event) -> tuple:
+    """An event as the trace keeps it: its name, and what tells whose it is."""
+    match event:
+        case Asked(session, request, since):
+            return "Asked", request.id, session, since
+        case Said(line, answer):
+            return "Said", answer.id, line, answer.word
+        case Told(news):
+            return "Told", news.number
+        case _:
+            return type(event).__name__, *event
+
+
 # ---- effects --------------------------------------------------------------------------------------
 
 
@@ -211,8 +225,7 @@
         self.alarm: Time | None = None
         self.effects: list[Effect] = []
         self.informed = False  # whether the module was told anything in this round
-        self.late: Time = LEAST_LATE  # how late timers come: an answer may need as long to get out
-        self.late_at: Time = 0
+        self.lateness = Lateness()
         self.counts: dict[tuple[str, str], list[float]] = {}  # answers since the last line in the log
         self.counted_at: Time = 0
         self.takes: dict[type, Callable[..., None]] = {
@@ -234,8 +247,7 @@
         self.informed = not isinstance(event, Said)
         if self.due and self.due[0][0] <= now:
             # Whatever event comes first after a pause finds the timers late, not only the one that rings.
-            self.late = max(now - self.due[0][0], LEAST_LATE, self.late - (now - self.late_at) // FADES)
-            self.late_at = now
+            self.lateness.seen(now, now - self.due[0][0])
         try:
             self.takes[type(event)](*event)
         except Exception:
@@ -315,15 +327,20 @@
         if len(self.asking) >= self.open_cap:
             self.effects.append(Defer(session, 0))
             return
-        # Guards rule 1 on a loaded machine: bytes are read and answers written as late as timers come.
-        due = since + request.patience - min(self.late, request.patience // 4)
+        if not self.module.welcome(self.now, self.groups[request.group], self.lateness.mean):
+            self.effects.append(Defer(session, 0))
+            self.tally(request.group, "turned away", self.now - since)
+            return
+        # Guards rule 1 on a loaded machine: bytes are read and answers written as late as timers come. Of a
+        # client's short patience half is kept for that: a loop's turn may take some tens of milliseconds.
+        due = since + request.patience - min(self.lateness.worst, request.patience // 2)
         if self.end is not None:
             due = min(due, self.end)
         q = Query(request, session, since, due)
         self.queries[request.id] = self.asking[session] = q
         group = self.groups[request.group]
         key = request.key if group in self.ordered else None
-        self.at(max(due, since + request.patience - LEAST_LATE // 2), self.overdue, request.id)
+        self.at(max(due, since + request.patience - AFTER_ALL), self.overdue, request.id)
         self.module.take(
             self.now, request.id, group, due, request.tables, 0, request.cost, request.memory, key
         )
@@ -376,20 +393,24 @@
             if leg.pages is not None and not leg.over:  # its pages are wanted no more; the run itself is over
                 self.effects.append(Send(leg.line.number, wire.Shut(q.request.id)))
                 self.leg_over(leg, "finished")
-        count = self.counts.setdefault((q.request.group, how), [0, 0.0])
-        count[0] += 1
-        count[1] += (self.now - q.taken) / 10
-        if self.now - self.counted_at >= COUNT_EVERY:
-            self.count_up()
+        self.tally(q.request.group, how, self.now - q.taken)
         if how not in ("finished", "deferred"):
             tries = [(event_bus.engine_name(leg.engine), (leg.sent - q.taken) / 10) for leg in q.legs]
             self.note("query", id=q.request.id, group=q.request.group, how=how, tries=tries)
         self.forget(q)
 
+    def tally(self, group: str, how: str, took: Time) -> None:
+        count = self.counts.setdefault((group, how), [0, 0.0])
+        count[0] += 1
+        count[1] += took / 10
+        if self.now - self.counted_at >= COUNT_EVERY:
+            self.count_up()
+
     def count_up(self) -> None:
         """One line a second for all answers, not one each: the log is read by people."""
         answers = {f"{group} {how}": [n, round(ms / n, 1)] for (group, how), (n, ms) in self.counts.items()}
-        self.note("answers", count_and_mean_ms=answers, open=len(self.asking), late=self.late / 10)
+        late, behind = self.lateness.worst / 10, round(self.lateness.mean / 10, 1)
+        self.note("answers", count_and_mean_ms=answers, open=len(self.asking), late=late, behind=behind)
         self.note(
             "engines", **{event_bus.engine_name(e): self.picture(peer) for e, peer in self.peers.items()}
         )
@@ -420,7 +441,7 @@
         self.module.closing(self.now, end)
         for q in list(self.asking.values()):
             q.due = min(q.due, end)
-            self.at(q.due + LEAST_LATE, self.overdue, q.request.id)
+            self.at(q.due + 2 * AFTER_ALL, self.overdue, q.request.id)
 
     # ---- submissions ------------------------------------------------------------------------------
 
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -1,19 +1,17 @@
-"""Sockets, timers and signals: carries out the effects that the reducer asks for and hands it what happens.
+"""The running router: rounds of the loop, timers, signals, and the way from events to effects.
 
-Owns the task groups, the streams and the bytes on their way. Must never change the state of a query, an
-engine or a submission, nor decide anything: it turns bytes into events and effects into bytes.
+Owns the task group and the order in which fronts, engine links and the reducer are called. Must never change
+the state of a query, an engine or a submission, nor decide anything. A round is plain code without a wait in
+it, so that it can be driven under a clock and sockets that are not real.
 """
 
-import contextlib
 import gc
-import os
 import signal
 import socket
-import struct
 import time
 import traceback
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
@@ -21,175 +19,66 @@
 
 from hillchute.catalog import up
 from hillchute.decision.teamwork import Teamwork
-from hillchute.router import config, engine_wire, event_bus, mysql, reducer, statement
+from hillchute.engines.line import wire
+from hillchute.engines.line.links import Link, Links
+from hillchute.fronts.mysql.door import Client, Door
+from hillchute.membership.follower import Follower
+from hillchute.net.poller import Poller
+from hillchute.router import config, reducer
 from hillchute.router.config import SECOND, Station
+from hillchute.router.departure import GONE, HANG_UP, TAKE, Departure
 from hillchute.router.lifecycle import Lifecycle, Phase
 from hillchute.router.log import Log
-from hillchute.router.seats import Seats
+from hillchute.router.rounds import BACKLOG, ENGINES_TIME, QUERIES_TIME, Rounds
+from hillchute.router.trace import Trace
 
-READ = 65_536  # bytes read at once from an engine
-CLIENT_READ = 16_384  # the same from a client: there are many
-TURNS = 4  # full reads in a row; then others get their turn
-ACCEPTS = 32  # connections taken in a row: one by one, a burst would wait longer than a key's order allows
-HELD = 262_144  # bytes waiting for a peer that does not read; then its connection is cut
 SWEEP = 0.1  # seconds between two looks for sessions too long in one step
-BUS_SILENCE = 2.5  # seconds without the frame that the protocol promises each second: a new connection
-BUS_RETRY = 0.25  # seconds between two tries to reach the event bus
-STILL_COMING = 0.7  # seconds after a signal in which clients may still come, by the protocol
+STEP = 0.01  # seconds between two looks at how far the end has come
+CLIENTS = 32  # sessions read between two looks at the alarm: about 2 ms
 COLLECT = (10_000, 10, 10)  # objects made before a collection: the usual 700 are a few queries only
 LAG = 0.05  # seconds that a timer may come late before it is logged
-LAST_DATA = struct.Struct("=I")  # tcpi_last_data_recv, at byte 52 of Linux's tcp_info
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-GONE = (anyio.EndOfStream, anyio.ClosedResourceError, anyio.BrokenResourceError, OSError)
+BEFORE_A_FAULT = 200  # events of the trace that are written with a fault
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 
 
 def clock() -> int:
     return up(time.time_ns())
 
 
-class Pipe:
-    """One connection's socket, and the bytes that it has not taken yet.
-
-    Writes go out at once where the socket takes them: a task for each would cost more than the query itself.
-    """
-
-    def __init__(self, sock: socket.socket, size: int = READ) -> None:
-        self.sock = sock
-        self.size = size
-        self.left = bytearray()
-        self.draining = False
-        self.drained: Callable[[], None] | None = None
-        self.more = True  # whether the last read was full, so that more is likely there
-        self.turns = 0  # full reads in a row
-        self.since = 0  # when what was read last had come, by the system's clock
-
-    def put(self, data: bytes, tasks: anyio.abc.TaskGroup) -> None:
-        if self.left:
-            self.left += data
-            return
-        try:
-            sent = self.sock.send(data)
-        except BlockingIOError:
-            sent = 0
-        except OSError:
-            return  # it is broken: whoever reads from it hears of that
-        if sent < len(data):
-            self.left += data[sent:]
-            if not self.draining:
-                self.draining = True
-                tasks.start_soon(self.drain)
-
-    async def drain(self) -> None:
-        try:
-            while self.left:
-                await anyio.wait_writable(self.sock)
-                with contextlib.suppress(BlockingIOError):  # woken for nothing: the bytes are still owed
-                    del self.left[: self.sock.send(self.left)]
-        except GONE:
-            self.left.clear()
-        finally:
-            self.draining = False
-        if self.drained:
-            self.drained()
-
-    async def get(self) -> bytes:
-        """What has come; empty once the other side has closed or the connection is broken."""
-        while len(self.left) < HELD:
-            try:
-                if not self.more:
-                    await anyio.wait_readable(self.sock)
-                elif self.turns >= TURNS:
-                    self.turns = 0
-                    await anyio.lowlevel.checkpoint()  # a peer at full speed must not hold up the others
-                data = self.sock.recv(self.size)
-                self.more = len(data) == self.size
-                self.turns = self.turns + 1 if self.more else 0
-                return data
-            except BlockingIOError:
-                self.more = False
-            except GONE:
-                break
-        return b""
-
-    def unread(self) -> bool:
-        """Whether something has come that was not read yet."""
-        try:
-            return bool(self.sock.recv(1, socket.MSG_PEEK))
-        except OSError:
-            return False
-
-    async def see_off(self) -> None:
-        """Lets the other side read the last answer: a close with bytes unread here would take it away."""
-        while self.draining:
-            await anyio.sleep(0.01)
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_WR)
-            while await self.get():
-                pass
-
-    def close(self) -> None:
-        """Wakes whoever waits on the socket first: its number may be another connection's a moment later."""
-        if self.sock.fileno() >= 0:
-            anyio.notify_closing(self.sock)
-            self.sock.close()
-
-
-class Client:
-    def __init__(self, number: int, pipe: Pipe, longest: int) -> None:
-        self.session = mysql.Session(number, longest)
-        self.pipe = pipe
-
-
-class Link:
-    """A connection to an engine, from the first try on."""
-
-    def __init__(self) -> None:
-        self.pipe: Pipe | None = None
-        self.scope = anyio.CancelScope()
-
-
-def ms_since_data(sock: socket.socket) -> int:
-    """How long ago the last bytes came, in milliseconds: a busy loop reads them late."""
-    try:
-        return LAST_DATA.unpack_from(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 64), 52)[0]
-    except OSError:
-        return 0
-
-
-async def connect(host: str, port: int) -> socket.socket:
-    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        with contextlib.suppress(BlockingIOError):
-            sock.connect((host, port))
-        await anyio.wait_writable(sock)
-        fault = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if fault:
-            raise OSError(fault, os.strerror(fault))
-    except BaseException:
-        sock.close()
-        raise
-    return sock
-
-
 class Service:
-    def __init__(self, station: Station, log: Log, lifecycle: Lifecycle) -> None:
+    def __init__(
+        self,
+        station: Station,
+        log: Log,
+        lifecycle: Lifecycle,
+        poller: Poller | None = None,
+        clock: Callable[[], int] = clock,
+    ) -> None:
         self.station = station
         self.log = log
         self.lifecycle = lifecycle
-        self.seats = Seats(station.sockets // 2)
+        self.clock = clock
+        self.poller = poller or Poller()
+        self.rounds = Rounds()
+        self.trace = Trace()
         module = Teamwork(station.seed, station.catalog, clock())
         self.reducer = reducer.Reducer(module, station.catalog, station.sockets // 3)
-        self.clients: dict[int, Client] = {}
-        self.links: dict[int, Link] = {}
+        self.door = Door(
+            station.sockets // 2, station.packet, self.poller, self.rounds, log, clock, self.gave_up
+        )
+        self.links = Links(self.poller, log, self.handle, self.reducer.connect_wait)
+        self.follower = Follower(
+            log,
+            news=lambda news: self.handle(reducer.Told(news)),
+            last=lambda: max(self.reducer.told_to, self.station.offset),
+        )
         self.events: deque[reducer.Event] = deque()  # those that came of carrying out an earlier one
         self.handling = False
-        # Numbers of sessions go on from the clock: a client may still name one from before a restart.
-        self.sessions = time.time_ns() // 1_000_000 % 2**31
-        self.followers: list[anyio.CancelScope] = []  # of the event bus, the newest last
         self.alarm: int | None = None
+        self.rings: int | None = None  # when ring() wakes by itself
         self.alarm_set = anyio.Event()
+        self.departure: Departure | None = None
+        self.dumped = 0  # when the trace was last written with a fault
         self.tasks: anyio.abc.TaskGroup
 
     # ---- events in, effects out -------------------------------------------------------------------
@@ -207,64 +96,125 @@
             self.handling = False
 
     def handle_one(self, event: reducer.Event) -> None:
+        now = self.clock()
+        self.trace.add((now, *reducer.told_by(event)))
         sends: dict[int, bytes] = {}
-        for effect in self.reducer.reduce(event, clock()):
+        for effect in self.reducer.reduce(event, now):
             if isinstance(effect, reducer.Send):
-                sends[effect.line] = sends.get(effect.line, b"") + engine_wire.encode(effect.command)
+                sends[effect.line] = sends.get(effect.line, b"") + wire.encode(effect.command)
             else:
                 self.carry_out(effect)
         for line, data in sends.items():
-            if line in self.links:
-                self.links[line].pipe.put(data, self.tasks)
+            self.links.send(line, data)
 
     def carry_out(self, effect: reducer.Effect) -> None:
         match effect:
             case reducer.Finish(session, rows):
-                self.reply(session, lambda s: s.result(rows))
+                self.door.finish(session, rows)
             case reducer.Defer(session, after):
-                hint = f"; come back after {after / 10:g} ms" if after else ""
-                self.reply(
-                    session, lambda s: s.failed(mysql.REFUSED, f"not run, trying again is harmless{hint}")
-                )
+                self.door.defer(session, after)
             case reducer.Kill(session, why):
-                self.reply(session, lambda s: s.failed(mysql.FAILED, why))
+                self.door.kill(session, why)
             case reducer.Connect(line, host, port):
-                self.links[line] = Link()
-                self.tasks.start_soon(self.guarded, self.engine_line(line, host, port), f"line {line}")
+                self.links.open(line, host, port, self.tasks)
             case reducer.HangUp(line):
-                link = self.links.pop(line, None)
-                if link:
-                    link.scope.cancel()
+                self.links.hang_up(line)
             case reducer.Alarm(at):
                 self.alarm = at
-                self.alarm_set.set()
+                if self.rings is None or at < self.rings:  # a later one is found when it wakes
+                    self.alarm_set.set()
             case reducer.Note(event, fields):
                 self.log.write(event, **fields)
-
-    def reply(self, session: int, encode) -> None:
-        client = self.clients.get(session)
-        if client is not None:
-            client.pipe.put(encode(client.session), self.tasks)
-            self.commands(client)
-
-    def seat(self, client: Client) -> None:
-        """Tells the seats how the session stands now."""
-        session, number = client.session, client.session.number
-        if number not in self.clients:
+                if event == "fault":
+                    self.dump(BEFORE_A_FAULT)
+
+    def gave_up(self, session: int) -> None:
+        """A client gave its query up, or is gone; the query may not have been handed on yet."""
+        if not self.rounds.drop(session):
+            self.handle(reducer.Left(session))
+
+    def dump(self, last: int) -> None:
+        """Writes the trace's last events, with faults once a second at the most."""
+        now = self.clock()
+        if now - self.dumped < SECOND:
             return
-        if session.busy and not session.over:
-            self.seats.ask(number)
-        elif session.over or not session.logged_in or session.buffer or client.pipe.left:
-            self.seats.in_step(number, clock())
-        else:
-            self.seats.rest(number)
-
-    async def guarded(self, work: Awaitable[None], what: str) -> None:
+        self.dumped = now
+        for events in self.trace.lines(last):
+            self.log.write("trace", events=events)
+
+    # ---- rounds -----------------------------------------------------------------------------------
+
+    def round(self) -> None:
+        """One turn through all that is ready, in the order and within the bounds that rounds.py states."""
+        rounds = self.rounds
+        rounds.begin()
+        began = self.clock()
+        self.look_at_alarm(began)
+        links: list[Link] = []
+        clients: list[tuple[Client, bool, bool]] = []
+        knocks = False
+        for owner, readable, writable in self.poller.look():
+            if isinstance(owner, Client):
+                clients.append((owner, readable, writable))
+            elif isinstance(owner, Link):
+                if writable and not readable:
+                    owner.pipe.flush()
+                else:
+                    links.append(owner)
+            else:
+                knocks = True
+        for n, link in enumerate(rounds.in_turn(links)):
+            if n and self.clock() - began > ENGINES_TIME:
+                rounds.put_off = True
+                break
+            link.served = rounds.number
+            self.guarded(self.links.ready, link, True, bool(link.pipe.left))
+        for n, (client, readable, writable) in enumerate(clients):
+            if n % CLIENTS == CLIENTS - 1:
+                self.look_at_alarm(self.clock())
+            self.guarded(self.door.ready, client, readable, writable)
+        rounds.read_all(began, knocks)
+        start = self.clock()
+        for taken, waiting in enumerate(rounds.queries()):
+            now = self.clock()
+            self.reducer.lateness.took(now, now - waiting.ready)
+            self.handle(reducer.Asked(waiting.session, waiting.request, waiting.since))
+            if taken and now - start > QUERIES_TIME:
+                break
+        if knocks:
+            before = self.clock()
+            rounds.accepted(before, all=self.door.accept(rounds.accepts))
+        ended = self.clock()
+        if ended - began > ENGINES_TIME + QUERIES_TIME:
+            self.reducer.lateness.seen(ended, ended - began)
+
+    def guarded(self, work: Callable[..., None], *about: object) -> None:
         """A fault in one session or connection ends that one alone."""
         try:
-            await work
+            work(*about)
         except Exception as fault:
-            self.log.write("fault", what=what, why=repr(fault), trace=traceback.format_exc(limit=-6))
+            owner = about[0]
+            self.log.write(
+                "fault", what=type(owner).__name__, why=repr(fault), trace=traceback.format_exc(limit=-6)
+            )
+            self.dump(BEFORE_A_FAULT)
+            self.door.drop(owner) if isinstance(owner, Client) else self.links.lost(owner, "a fault of ours")
+
+    def look_at_alarm(self, now: int) -> None:
+        if self.alarm is not None and now >= self.alarm:
+            if now - self.alarm > LAG * SECOND:
+                self.log.write("lag", ms=(now - self.alarm) / 10)
+            self.alarm = None
+            self.handle(reducer.Tick())
+
+    async def work(self) -> None:
+        """Rounds without end. Between two of them signals, timers and the event bus have their turn."""
+        while True:
+            if self.rounds.idle:
+                await self.poller.wait()
+            else:
+                await anyio.lowlevel.checkpoint()
+            self.round()
 
     # ---- the life of the program ------------------------------------------------------------------
 
@@ -273,43 +223,54 @@
             for news in self.station.known:
                 self.handle(reducer.Told(news))
             family = socket.AF_INET6 if ":" in self.station.host else socket.AF_INET
-            listener = socket.create_server(
-                (self.station.host, self.station.port), family=family, backlog=1024
-            )
-            listener.setblocking(False)
+            address = (self.station.host, self.station.port)
+            self.door.open(socket.create_server(address, family=family, backlog=BACKLOG))
             self.tasks.start_soon(self.watch_signals)
             self.tasks.start_soon(self.ring)
-            self.tasks.start_soon(self.end_late_steps)
-            self.move_bus()
-            self.tasks.start_soon(self.accept, listener)
+            self.tasks.start_soon(self.sweep)
+            self.follower.move(self.station.bus, self.tasks)
+            self.tasks.start_soon(self.work)
             gc.collect()
             gc.freeze()  # what the start has made lives to the end: no later collection need look at it
             gc.set_threshold(*COLLECT)
             self.lifecycle.enter(Phase.SERVING)
             await self.lifecycle.reach(Phase.CLOSING)
-            await self.close(listener)
+            self.leave()
+            while self.step_out() != GONE:
+                await anyio.sleep(STEP)
             self.tasks.cancel_scope.cancel()
         self.lifecycle.enter(Phase.STOPPED)
 
-    async def close(self, listener) -> None:
-        self.handle(reducer.Closing(clock() + self.station.closing))
-        await anyio.sleep(STILL_COMING)
-        anyio.notify_closing(listener)
-        listener.close()
-        while self.reducer.asking:
-            await anyio.sleep(0.01)
-        self.lifecycle.enter(Phase.FLUSHING)
-        with anyio.move_on_after(STILL_COMING):
-            while any(client.pipe.left for client in self.clients.values()):
-                await anyio.sleep(0.01)
-            await anyio.sleep(0.05)
+    def leave(self) -> None:
+        """The router was told to end."""
+        now = self.clock()
+        self.departure = Departure(now, self.station.closing, self.reducer.lateness.worst)
+        self.handle(reducer.Closing(self.departure.end))
+
+    def step_out(self) -> str:
+        """How far the end has come, as of a round made now: only that sees what the kernel holds."""
+        self.round()
+        open = len(self.reducer.asking) + len(self.rounds.of)
+        step = self.departure.step(
+            self.clock(), self.rounds.heard, open, self.door.owed(), len(self.door.clients)
+        )
+        if step != TAKE and self.lifecycle.enter(Phase.FLUSHING):
+            self.door.accept(BACKLOG)
+            self.door.close()
+            self.door.hang_up()
+        if step == HANG_UP:
+            self.door.hang_up()  # those whose last bytes have gone out meanwhile
+        return step
 
     async def watch_signals(self) -> None:
         with anyio.open_signal_receiver(*SIGNALS) as signals:
             signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
             async for number in signals:
                 self.log.write("signal", number=int(number))
-                if number != signal.SIGHUP:
+                if number == signal.SIGUSR1:
+                    for events in self.trace.lines():
+                        self.log.write("trace", events=events)
+                elif number != signal.SIGHUP:
                     self.lifecycle.enter(Phase.CLOSING)
                 elif self.lifecycle.enter(Phase.RELOADING):
                     self.reload()
@@ -327,207 +288,21 @@
         self.station = self.station._replace(bus=station.bus)
         for news in station.known:
             self.handle(reducer.Told(news))
-        self.move_bus()
+        self.follower.move(self.station.bus, self.tasks)
 
     async def ring(self) -> None:
-        """Tells the reducer when the time of its alarm has come, and the log when the loop stood still."""
+        """Sees to the alarm where no socket is ready."""
         while True:
             self.alarm_set = anyio.Event()
-            wait = 3600.0 if self.alarm is None else (self.alarm - clock()) / SECOND
+            self.rings = self.alarm
+            wait = 3600.0 if self.alarm is None else (self.alarm - self.clock()) / SECOND
             if wait > 0:
                 with anyio.move_on_after(wait):
                     await self.alarm_set.wait()
-            if self.alarm is not None and (late := clock() - self.alarm) >= 0:
-                if late > LAG * SECOND:
-                    self.log.write("lag", ms=late / 10)
-                self.alarm = None
-                self.handle(reducer.Tick())
+            self.look_at_alarm(self.clock())
             self.log.flush()
 
-    # ---- clients ----------------------------------------------------------------------------------
-
-    async def accept(self, listener: socket.socket) -> None:
-        while True:
-            if self.sessions % ACCEPTS == 0:
-                await anyio.lowlevel.checkpoint()  # those who came before have their turn
-            try:
-                sock, _ = listener.accept()
-            except BlockingIOError:
-                try:
-                    await anyio.wait_readable(listener)
-                except anyio.ClosedResourceError:
-                    return
-                continue
-            except OSError as fault:  # out of descriptors, or a connection that broke before it was taken
-                if listener.fileno() < 0:
-                    return
-                self.log.write("fault", what="accept", why=str(fault))
-                await anyio.sleep(0.05)
-                continue
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.sessions += 1
-            client = Client(self.sessions, Pipe(sock, CLIENT_READ), self.station.packet)
-            if self.make_room():
-                first = client.session.greeting()
-            elif self.seats.overfull:
-                client.pipe.close()
-                continue
-            else:
-                first = client.session.close(mysql.REFUSED, "too many sessions")
-            client.pipe.put(first, self.tasks)
-            self.clients[self.sessions] = client
-            self.seat(client)
-            self.tasks.start_soon(self.guarded, self.client(client), f"session {self.sessions}")
-
-    def make_room(self) -> bool:
-        """A place for one more session. Who has written something that was not read yet keeps its own."""
-        if not self.seats.full:
-            return True
-        for number in self.seats.give_way():
-            if not self.clients[number].pipe.unread():
-                self.drop(number)
-                return True
-        return False
-
-    def drop(self, number: int) -> None:
-        """Ends a session from this side; its task hears of it later."""
-        client = self.clients.pop(number)
-        self.seats.leave(number)
-        client.session.over = True
-        client.pipe.close()
-
-    async def end_late_steps(self) -> None:
+    async def sweep(self) -> None:
         while True:
             await anyio.sleep(SWEEP)
-            for number in self.seats.late(clock()):
-                session, pipe = self.clients[number].session, self.clients[number].pipe
-                if not session.over and not pipe.left:
-                    pipe.put(session.close(mysql.MALFORMED, "a packet was not complete in time"), self.tasks)
-                self.drop(number)
-
-    async def client(self, client: Client) -> None:
-        pipe, number = client.pipe, client.session.number
-        try:
-            pipe.drained = lambda: self.commands(client)
-            await self.hear_client(client)
-            if client.session.over:
-                await pipe.see_off()
-        finally:
-            pipe.drained = None
-            pipe.close()
-            self.clients.pop(number, None)
-            self.seats.leave(number)
-            self.handle(reducer.Left(number))
-
-    async def hear_client(self, client: Client) -> None:
-        while not client.session.over and (data := await client.pipe.get()):
-            client.pipe.since = clock() - SECOND // 1000 * ms_since_data(client.pipe.sock)
-            out = client.session.feed(data)
-            if out:
-                client.pipe.put(out, self.tasks)
-            self.commands(client)
-
-    def commands(self, client: Client) -> None:
-        """Acts on the commands whose turn has come."""
-        session = client.session
-        while not client.pipe.left:  # one answer at a time: the next command waits until this one is read
-            command, out = session.command()
-            if out:
-                client.pipe.put(out, self.tasks)
-            match command:
-                case None:
-                    break
-                case mysql.Query(text):
-                    self.ask(client, text)
-                case mysql.KillQuery(number):
-                    known = number in self.clients
-                    if known:
-                        self.handle(reducer.Left(number))
-                    done = session.ok() if known else session.failed(mysql.NO_SUCH_THREAD, "no such session")
-                    client.pipe.put(done, self.tasks)
-                case mysql.Ping():
-                    client.pipe.put(session.ok(), self.tasks)
-        self.seat(client)
-
-    def ask(self, client: Client, text: bytes) -> None:
-        try:
-            request = statement.read(text)
-        except statement.Misread as fault:
-            self.log.write("misread", session=client.session.number, why=str(fault))
-            client.pipe.put(client.session.failed(mysql.BAD_STATEMENT, str(fault)), self.tasks)
-            return
-        self.handle(reducer.Asked(client.session.number, request, client.pipe.since))
-
-    # ---- engines ----------------------------------------------------------------------------------
-
-    async def engine_line(self, number: int, host: str, port: int) -> None:
-        link = self.links[number]
-        with link.scope:
-            try:
-                with anyio.fail_after(self.reducer.connect_wait / SECOND):
-                    sock = await connect(host, port)
-            except (OSError, TimeoutError) as fault:
-                self.links.pop(number, None)
-                self.log.write(
-                    "not_connected", line=number, to=f"{host}:{port}", why=str(fault) or "time-out"
-                )
-                self.handle(reducer.NotConnected(number))
-                return
-            why = "closed"
-            link.pipe = Pipe(sock)
-            try:
-                with contextlib.closing(link.pipe):
-                    self.handle(reducer.Connected(number))
-                    why = await self.hear_engine(link.pipe, number)
-            finally:
-                self.links.pop(number, None)
-                self.handle(reducer.Lost(number, why))
-
-    async def hear_engine(self, pipe: Pipe, number: int) -> str:
-        decoder = engine_wire.Decoder()
-        try:
-            while data := await pipe.get():
-                for answer in decoder.feed(data):
-                    self.handle(reducer.Said(number, answer))
-        except engine_wire.Unreadable as fault:
-            return f"unreadable: {fault}"
-        return "closed by the engine, broken, or not reading"
-
-    # ---- the event bus ----------------------------------------------------------------------------
-
-    def move_bus(self) -> None:
-        """Follows the event bus at its address of now. Whoever followed it elsewhere is left once this one
-        is up: until then an old event bus may still tell something."""
-        scope = anyio.CancelScope()
-        self.followers.append(scope)
-        self.tasks.start_soon(self.follow_bus, self.station.bus, scope)
-
-    async def follow_bus(self, address: tuple[str, int], scope: anyio.CancelScope) -> None:
-        with scope:
-            while scope in self.followers:
-                try:
-                    await self.hear_bus(address, scope)
-                except (*GONE, TimeoutError, event_bus.Unreadable) as fault:
-                    why = str(fault) or type(fault).__name__
-                    self.log.write("bus_lost", why=why, last=self.reducer.told_to)
-                if scope is not self.followers[-1]:
-                    self.followers.remove(scope)  # the event bus has moved: nothing more is told here
-                    return
-                await anyio.sleep(BUS_RETRY)
-
-    async def hear_bus(self, address: tuple[str, int], scope: anyio.CancelScope) -> None:
-        with anyio.fail_after(BUS_SILENCE):
-            stream = await anyio.connect_tcp(*address)
-        async with stream:
-            decoder = event_bus.Decoder()
-            await stream.send(event_bus.subscribe(max(self.reducer.told_to, self.station.offset)))
-            while scope is not self.followers[0]:
-                self.followers.pop(0).cancel()
-            while True:
-                # Whole frames count, not bytes: those of later frames could feed one that never ends.
-                with anyio.fail_after(BUS_SILENCE):
-                    while not (told := list(decoder.feed(await stream.receive(READ)))):
-                        pass
-                for news in told:
-                    self.handle(reducer.Told(news))
+            self.door.sweep()
--- a/hillchute/router/statement.py
+++ b/hillchute/statements/request.py
@@ -24,12 +24,16 @@
     group: str
     patience: int
     statement: bytes
-    tables: int | None
     token: str | None = None
     cost: int | None = None
     memory: float = 0.0
     key: str | None = None
 
+    @property
+    def tables(self) -> int | None:
+        """The table group. Read each time: a query that is turned away never needs it."""
+        return table_group(self.statement)
+
 
 def number(name: str, text: str, least: float, most: float) -> float:
     if not FIGURE.fullmatch(text):
@@ -77,7 +81,6 @@
         group=fields["route"],
         patience=int(number("patience", fields["patience"], 1, 86_400_000) * 10),
         statement=statement,
-        tables=table_group(statement),
         token=digits("nonce", fields.get("nonce")),
         cost=round(number("weight", fields["weight"], 0, 1e9) * 10) if "weight" in fields else None,
         memory=number("mb", fields["mb"], 0, 1e9) if "mb" in fields else 0.0,
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -12,10 +12,16 @@
 from hillchute.benchlink.codec import Fields
 from hillchute.decision.interface import Listing
 from hillchute.decision.teamwork import SECOND, Teamwork
-from hillchute.router import config, engine_wire, event_bus, mysql, reducer, seats, service, statement
-from hillchute.router.engine_wire import Answer, Hurry, NeverMind, Turn, Want
+from hillchute.engines.line import wire
+from hillchute.engines.line.wire import Answer, Hurry, NeverMind, Turn, Want
+from hillchute.fronts import seats
+from hillchute.fronts.mysql import packets as mysql
+from hillchute.membership import event_bus
+from hillchute.net.pipe import Pipe
+from hillchute.router import config, lateness, reducer, service
 from hillchute.router.lifecycle import Lifecycle, Phase
 from hillchute.router.log import MOST_ALIKE, Log
+from hillchute.statements import request as statement
 
 COMMENT = b"/* route=report,trace=9b1f03aa5c7e2d41,patience=1500,weight=820.0,mb=96 */ "
 SELECT = b"SELECT day, count(*), max(note) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day"
@@ -141,13 +147,13 @@
 
 
 def test_answers_come_in_pieces_and_several_at_once():
-    decoder = engine_wire.Decoder()
+    decoder = wire.Decoder()
     data = b"q1 ACK parts=2,work=12.5,rep=util:0.5;inflight:7 6\r\na\tb\tc\n\r\nq2 EIO - 0\r\n\r\n"
     answers = [answer for n in range(len(data)) for answer in decoder.feed(data[n : n + 1])]
-    assert answers == list(engine_wire.Decoder().feed(data))
+    assert answers == list(wire.Decoder().feed(data))
     assert [a.word for a in answers] == ["ACK", "EIO"]
     assert (answers[0].report, answers[0].work) == ({"util": 0.5, "inflight": 7.0}, 12.5)
-    assert engine_wire.rows(answers[0].body) == [[b"a", b"b", b"c"]]
+    assert wire.rows(answers[0].body) == [[b"a", b"b", b"c"]]
 
 
 @pytest.mark.parametrize(
@@ -170,9 +176,9 @@
     ids=range(13),
 )
 def test_answers_before_one_that_cannot_be_read_are_given(data):
-    answers = engine_wire.Decoder().feed(b"q1 EIO - 0\r\n\r\n" + data)
+    answers = wire.Decoder().feed(b"q1 EIO - 0\r\n\r\n" + data)
     assert next(answers).id == "q1"
-    with pytest.raises(engine_wire.Unreadable):
+    with pytest.raises(wire.Unreadable):
         next(answers)
 
 
@@ -280,7 +286,7 @@
         return [e for e in effects if kind is None or isinstance(e, kind)]
 
     def ask(self, group="lookup", id="a" * 16, session=1, now=0, patience=5 * SECOND, cost=1000, **known):
-        request = statement.Request(id, group, patience, b"SELECT 1", 4, cost=cost, **known)
+        request = statement.Request(id, group, patience, b"SELECT 1 FROM sales_4.orders", cost=cost, **known)
         return self.do(reducer.Asked(session, request, now), now)
 
     def sent(self, now=0, **known):
@@ -403,7 +409,7 @@
 
 def test_time_out_gives_the_submission_up_and_a_late_answer_is_passed_over(rig):
     line = rig.sent(patience=SECOND)
-    effects = rig.do(reducer.Tick(), SECOND - reducer.LEAST_LATE - rig.reducer.module.margin)
+    effects = rig.do(reducer.Tick(), SECOND - lateness.LEAST - rig.reducer.module.margin)
     assert NeverMind("a" * 16) in [e.command for e in effects if isinstance(e, reducer.Send)]
     assert [type(e) for e in effects if isinstance(e, reducer.Defer | reducer.Kill)] == [reducer.Defer]
     assert not rig.say(line, "ACK", now=SECOND, kind=reducer.Finish)
@@ -507,18 +513,26 @@
         return min(size, len(data))
 
 
-def test_bytes_that_a_full_socket_does_not_take_are_still_owed(monkeypatch):
-    async def ready(sock):
-        pass
+def test_bytes_that_a_full_socket_does_not_take_are_still_owed():
+    pipe = Pipe(Fickle(), Watched(), None, 1024)
+    pipe.put(b"an answer")
+    while pipe.left:
+        assert pipe.poller.writing
+        pipe.flush()
+    assert not pipe.poller.writing
+    assert pipe.sock.taken == b"an answer" and not pipe.left
 
-    async def write():
-        async with anyio.create_task_group() as tasks:
-            pipe.put(b"an answer", tasks)
 
-    pipe = service.Pipe(Fickle())
-    monkeypatch.setattr(service.anyio, "wait_writable", ready)
-    anyio.run(write)
-    assert pipe.sock.taken == b"an answer" and not pipe.left
+class Watched:
+    """Stands in for the poller: whether the pipe asks to be told that its socket takes bytes."""
+
+    writing = False
+
+    def add(self, sock, owner):
+        pass
+
+    def watch_writing(self, sock, on):
+        self.writing = on
 
 
 class Signals:
@@ -568,7 +582,7 @@
         monkeypatch.setattr(service.anyio, "open_signal_receiver", lambda *_: Signals(*[signal.SIGHUP] * 2))
         router.station = station._replace(bus=buses[0].getsockname(), offset=7)
         async with anyio.create_task_group() as router.tasks:
-            router.move_bus()
+            router.follower.move(router.station.bus, router.tasks)
             first = (await anyio.to_thread.run_sync(buses[0].accept))[0]
             assert await anyio.to_thread.run_sync(first.recv, 8) == event_bus.subscribe(7)
             await router.watch_signals()
@@ -627,13 +641,13 @@
 async def serve(router, talk):
     """Runs a router's door on a port of its own while `talk` speaks to it in a thread."""
     listener = socket.create_server(("127.0.0.1", 0))
-    listener.setblocking(False)
+    router.door.open(listener)
     async with anyio.create_task_group() as router.tasks:
-        router.tasks.start_soon(router.accept, listener)
-        router.tasks.start_soon(router.end_late_steps)
+        router.tasks.start_soon(router.work)
+        router.tasks.start_soon(router.sweep)
         await anyio.to_thread.run_sync(talk, listener.getsockname())
         router.tasks.cancel_scope.cancel()
-    listener.close()
+    router.door.close()
 
 
 def hear(sock):
@@ -647,11 +661,11 @@
 
 def test_usual_client_finds_room_among_hundreds_that_say_nothing(router):
     def talk(address):
-        silent = [socket.create_connection(address) for _ in range(router.seats.most + 20)]
+        silent = [socket.create_connection(address) for _ in range(router.door.seats.most + 20)]
         with socket.create_connection(address) as sock:
             sock.sendall(packet(1, login()) + packet(0, b"\x0e") + packet(0, b"\x01"))
             assert hear(sock).endswith(packet(2, mysql.OK) + packet(1, mysql.OK))
-        assert len(router.clients) <= router.seats.most
+        assert len(router.door.clients) <= router.door.seats.most
         for sock in silent:
             sock.close()
 
