The reducer knows no protocol: commands and answers as plain words, pages in the line exchange

Need: a second kind of engine and a second front are to go through the same state and decisions. Change: engines/words.py holds what passes between reducer and links; the line protocol's pages, probes and spellings stand in engines/line/exchange.py; the reducer (717 lines) is parted into events, desk (time, effects, timers), lines (engines, connections, probes) and queries with submissions; it knows results that come as a stream (Began, Passed, Cut) for the fronts to come. Behaviour of the platform's path unchanged: all tests, which now go through the exchange.

--- a/hillchute/engines/line/links.py
+++ b/hillchute/engines/line/links.py
@@ -12,10 +12,12 @@
 import anyio
 import anyio.abc
 
+from hillchute.engines import words
 from hillchute.engines.line import wire
+from hillchute.engines.line.exchange import Exchange
 from hillchute.net.pipe import Pipe
 from hillchute.net.poller import Poller
-from hillchute.router import reducer
+from hillchute.router import events
 from hillchute.router.log import Log
 
 READ = 65_536  # bytes read at once
@@ -26,13 +28,13 @@
 class Link:
     """A connection to an engine, from the first try on."""
 
-    __slots__ = ("number", "pipe", "scope", "decoder", "served")
+    __slots__ = ("number", "pipe", "scope", "exchange", "served")
 
     def __init__(self, number: int) -> None:
         self.number = number
         self.pipe: Pipe | None = None
         self.scope = anyio.CancelScope()
-        self.decoder = wire.Decoder()
+        self.exchange = Exchange()
         self.served = 0
 
 
@@ -60,7 +62,7 @@
         self,
         poller: Poller,
         log: Log,
-        handle: Callable[[reducer.Event], None],
+        handle: Callable[[events.Event], None],
         wait: int,
         connect: Callable[[str, int], Awaitable[socket.socket]] = connect,
     ) -> None:
@@ -82,15 +84,15 @@
                 self.links.pop(link.number, None)
                 why = str(fault) or "time-out"
                 self.log.write("not_connected", line=link.number, to=f"{host}:{port}", why=why)
-                self.handle(reducer.NotConnected(link.number))
+                self.handle(events.NotConnected(link.number))
                 return
-            self.handle(reducer.Connected(link.number))
+            self.handle(events.Connected(link.number))
 
-    def send(self, number: int, data: bytes) -> None:
+    def send(self, number: int, commands: list[words.Command]) -> None:
         link = self.links.get(number)
         if link is None or link.pipe is None:
             return
-        link.pipe.put(data)
+        link.pipe.put(b"".join(map(link.exchange.encode, commands)))
         if len(link.pipe.left) > HELD:
             self.lost(link, "not reading")
 
@@ -108,15 +110,18 @@
             self.lost(link, "closed by the engine, or broken")
             return
         try:
-            for answer in link.decoder.feed(data):
-                self.handle(reducer.Said(link.number, answer))
+            for said in link.exchange.feed(data):
+                self.handle(events.Said(link.number, said))
+            if link.exchange.owed and not link.pipe.closed:
+                link.pipe.put(link.exchange.owed)
+                link.exchange.owed = b""
         except wire.Unreadable as fault:
             self.lost(link, f"unreadable: {fault}")
 
     def lost(self, link: Link, why: str) -> None:
         link.pipe.close()
         if self.links.pop(link.number, None) is not None:
-            self.handle(reducer.Lost(link.number, why))
+            self.handle(events.Lost(link.number, why))
 
     def hang_up(self, number: int) -> None:
         link = self.links.pop(number, None)
--- /dev/null
+++ b/hillchute/router/events.py
@@ -0,0 +1,144 @@
+"""What can happen to a router, and what it can ask for: the two sides of the reducer.
+
+Owns events and effects as plain values. Must never hold a protocol's spelling.
+"""
+
+from typing import NamedTuple
+
+from hillchute.decision.interface import Time
+from hillchute.engines import words
+from hillchute.membership import event_bus
+from hillchute.statements.request import Request
+
+# ---- events ---------------------------------------------------------------------------------------
+
+
+class Asked(NamedTuple):
+    """A client's query has come whole, at the time `since`."""
+
+    session: int
+    request: Request
+    since: Time
+
+
+class Left(NamedTuple):
+    """The client of a session gave its query up, or is gone."""
+
+    session: int
+
+
+class Passed(NamedTuple):
+    """The client of a session has taken the last of a stream."""
+
+    session: int
+
+
+class Connected(NamedTuple):
+    line: int
+
+
+class NotConnected(NamedTuple):
+    line: int
+
+
+class Said(NamedTuple):
+    line: int
+    what: words.Said
+
+
+class Lost(NamedTuple):
+    """A connection to an engine has ended, in whatever way."""
+
+    line: int
+    why: str
+
+
+class Told(NamedTuple):
+    news: event_bus.News
+
+
+class Tick(NamedTuple):
+    """The time that an Alarm named has come."""
+
+
+class Closing(NamedTuple):
+    """The router ends: by `end` everything must be answered."""
+
+    end: Time
+
+
+Event = Asked | Left | Passed | Connected | NotConnected | Said | Lost | Told | Tick | Closing
+
+
+def told_by(event: Event) -> tuple:
+    """An event as the trace keeps it: its name, and what tells whose it is."""
+    match event:
+        case Asked(session, request, since):
+            return "Asked", request.id, session, since
+        case Said(line, what):
+            return "Said", line, type(what).__name__, what and what[0]
+        case Told(news):
+            return "Told", news.number
+        case _:
+            return type(event).__name__, *event
+
+
+# ---- effects --------------------------------------------------------------------------------------
+
+
+class Finish(NamedTuple):
+    """The whole result."""
+
+    session: int
+    rows: words.Rows
+
+
+class Stream(NamedTuple):
+    """The result begins; the front passes it on as fast as its client reads, then tells Passed."""
+
+    session: int
+    stream: words.Stream
+
+
+class Cut(NamedTuple):
+    """A stream that was begun ends without its end: the client must be able to tell."""
+
+    session: int
+    why: str
+
+
+class Defer(NamedTuple):
+    session: int
+    after: Time
+
+
+class Kill(NamedTuple):
+    session: int
+    why: str
+
+
+class Send(NamedTuple):
+    line: int
+    command: words.Command
+
+
+class Connect(NamedTuple):
+    line: int
+    host: str
+    port: int
+
+
+class HangUp(NamedTuple):
+    line: int
+
+
+class Alarm(NamedTuple):
+    at: Time
+
+
+class Note(NamedTuple):
+    event: str
+    fields: dict[str, object]
+
+
+Effect = Finish | Stream | Cut | Defer | Kill | Send | Connect | HangUp | Alarm | Note
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -19,16 +19,17 @@
 
 from hillchute.catalog import up
 from hillchute.decision.teamwork import Teamwork
-from hillchute.engines.line import wire
+from hillchute.engines import words
 from hillchute.engines.line.links import Link, Links
 from hillchute.fronts.mysql.door import Client, Door
 from hillchute.membership.follower import Follower
 from hillchute.net.poller import Poller
-from hillchute.router import config, reducer
+from hillchute.router import config, events
 from hillchute.router.config import SECOND, Station
 from hillchute.router.departure import GONE, HANG_UP, TAKE, Departure
 from hillchute.router.lifecycle import Lifecycle, Phase
 from hillchute.router.log import Log
+from hillchute.router.reducer import Reducer
 from hillchute.router.rounds import BACKLOG, ENGINES_TIME, QUERIES_TIME, Rounds
 from hillchute.router.trace import Trace
 
@@ -62,7 +63,7 @@
         self.rounds = Rounds()
         self.trace = Trace()
         module = Teamwork(station.seed, station.catalog, clock())
-        self.reducer = reducer.Reducer(module, station.catalog, station.sockets // 3)
+        self.reducer = Reducer(module, station.catalog, station.sockets // 3)
         self.door = Door(
             station.sockets // 2,
             station.packet,
@@ -73,13 +74,13 @@
             left=self.gave_up,
             margin=self.reducer.lateness.margin,
         )
-        self.links = Links(self.poller, log, self.handle, self.reducer.connect_wait)
+        self.links = Links(self.poller, log, self.handle, self.reducer.lines.connect_wait)
         self.follower = Follower(
             log,
-            news=lambda news: self.handle(reducer.Told(news)),
-            last=lambda: max(self.reducer.told_to, self.station.offset),
+            news=lambda news: self.handle(events.Told(news)),
+            last=lambda: max(self.reducer.lines.told_to, self.station.offset),
         )
-        self.events: deque[reducer.Event] = deque()  # those that came of carrying out an earlier one
+        self.queue: deque[events.Event] = deque()  # those that came of carrying out an earlier one
         self.handling = False
         self.alarm: int | None = None
         self.rings: int | None = None  # when ring() wakes by itself
@@ -90,47 +91,47 @@
 
     # ---- events in, effects out -------------------------------------------------------------------
 
-    def handle(self, event: reducer.Event) -> None:
+    def handle(self, event: events.Event) -> None:
         """One event after another: what follows from an effect waits until all effects before are out."""
-        self.events.append(event)
+        self.queue.append(event)
         if self.handling:
             return
         self.handling = True
         try:
-            while self.events:
-                self.handle_one(self.events.popleft())
+            while self.queue:
+                self.handle_one(self.queue.popleft())
         finally:
             self.handling = False
 
-    def handle_one(self, event: reducer.Event) -> None:
+    def handle_one(self, event: events.Event) -> None:
         now = self.clock()
-        self.trace.add((now, *reducer.told_by(event)))
-        sends: dict[int, bytes] = {}
+        self.trace.add((now, *events.told_by(event)))
+        sends: dict[int, list[words.Command]] = {}
         for effect in self.reducer.reduce(event, now):
-            if isinstance(effect, reducer.Send):
-                sends[effect.line] = sends.get(effect.line, b"") + wire.encode(effect.command)
+            if isinstance(effect, events.Send):
+                sends.setdefault(effect.line, []).append(effect.command)
             else:
                 self.carry_out(effect)
-        for line, data in sends.items():
-            self.links.send(line, data)
+        for line, commands in sends.items():
+            self.links.send(line, commands)
 
-    def carry_out(self, effect: reducer.Effect) -> None:
+    def carry_out(self, effect: events.Effect) -> None:
         match effect:
-            case reducer.Finish(session, rows):
+            case events.Finish(session, rows):
                 self.door.finish(session, rows)
-            case reducer.Defer(session, after):
+            case events.Defer(session, after):
                 self.door.defer(session, after)
-            case reducer.Kill(session, why):
+            case events.Kill(session, why):
                 self.door.kill(session, why)
-            case reducer.Connect(line, host, port):
+            case events.Connect(line, host, port):
                 self.links.open(line, host, port, self.tasks)
-            case reducer.HangUp(line):
+            case events.HangUp(line):
                 self.links.hang_up(line)
-            case reducer.Alarm(at):
+            case events.Alarm(at):
                 self.alarm = at
                 if self.rings is None or at < self.rings:  # a later one is found when it wakes
                     self.alarm_set.set()
-            case reducer.Note(event, fields):
+            case events.Note(event, fields):
                 self.log.write(event, **fields)
                 if event == "fault":
                     self.dump(BEFORE_A_FAULT)
@@ -138,7 +139,7 @@
     def gave_up(self, session: int) -> None:
         """A client gave its query up, or is gone; the query may not have been handed on yet."""
         if not self.rounds.drop(session) and session in self.reducer.asking:
-            self.handle(reducer.Left(session))
+            self.handle(events.Left(session))
 
     def dump(self, last: int) -> None:
         """Writes the trace's last events, with faults once a second at the most."""
@@ -146,8 +147,8 @@
         if now - self.dumped < SECOND:
             return
         self.dumped = now
-        for events in self.trace.lines(last):
-            self.log.write("trace", events=events)
+        for part in self.trace.lines(last):
+            self.log.write("trace", events=part)
 
     # ---- rounds -----------------------------------------------------------------------------------
 
@@ -185,7 +186,7 @@
         for taken, waiting in enumerate(rounds.queries(start)):
             now = self.clock()
             self.reducer.lateness.took(now, now - waiting.ready)
-            self.handle(reducer.Asked(waiting.session, waiting.request, waiting.since))
+            self.handle(events.Asked(waiting.session, waiting.request, waiting.since))
             if taken and now - start > QUERIES_TIME:
                 break
         if knocks:
@@ -212,7 +213,7 @@
             if now - self.alarm > LAG * SECOND:
                 self.log.write("lag", ms=(now - self.alarm) / 10)
             self.alarm = None
-            self.handle(reducer.Tick())
+            self.handle(events.Tick())
 
     async def work(self) -> None:
         """Rounds without end. Between two of them signals, timers and the event bus have their turn."""
@@ -228,7 +229,7 @@
     async def run(self) -> None:
         async with anyio.create_task_group() as self.tasks:
             for news in self.station.known:
-                self.handle(reducer.Told(news))
+                self.handle(events.Told(news))
             family = socket.AF_INET6 if ":" in self.station.host else socket.AF_INET
             address = (self.station.host, self.station.port)
             self.door.open(socket.create_server(address, family=family, backlog=BACKLOG))
@@ -252,7 +253,7 @@
         """The router was told to end."""
         now = self.clock()
         self.departure = Departure(now, self.station.closing, self.reducer.lateness.worst)
-        self.handle(reducer.Closing(self.departure.end))
+        self.handle(events.Closing(self.departure.end))
 
     def step_out(self) -> str:
         """How far the end has come, as of a round made now: only that sees what the kernel holds."""
@@ -275,8 +276,8 @@
             async for number in signals:
                 self.log.write("signal", number=int(number))
                 if number == signal.SIGUSR1:
-                    for events in self.trace.lines():
-                        self.log.write("trace", events=events)
+                    for part in self.trace.lines():
+                        self.log.write("trace", events=part)
                 elif number != signal.SIGHUP:
                     self.lifecycle.enter(Phase.CLOSING)
                 elif self.lifecycle.enter(Phase.RELOADING):
@@ -294,7 +295,7 @@
         self.log.write("reload", bus=list(station.bus), needs_restart=restart)
         self.station = self.station._replace(bus=station.bus)
         for news in station.known:
-            self.handle(reducer.Told(news))
+            self.handle(events.Told(news))
         self.follower.move(self.station.bus, self.tasks)
 
     async def ring(self) -> None:
