--- a/hillchute/engines/words.py
+++ b/hillchute/engines/words.py
@@ -56,6 +56,11 @@
 class Stream(Protocol):
     """A result that is still coming, as batches; whoever reads it slowly holds the engine back."""
 
+    broken: bool  # it ended before its end
+
+    async def read(self) -> bytes | None:
+        """The next message as the engine sent it, None after the last."""
+
     def close(self) -> None:
         """Nothing more is wanted of it."""
 
--- a/hillchute/fronts/mysql/door.py
+++ b/hillchute/fronts/mysql/door.py
@@ -7,6 +7,9 @@
 import socket
 from collections.abc import Callable, Iterator
 
+import anyio
+
+from hillchute.engines import words
 from hillchute.fronts.mysql import packets
 from hillchute.fronts.seats import Seats
 from hillchute.net.pipe import Pipe
@@ -17,13 +20,25 @@
 
 READ = 16_384  # bytes read at once from a client: there are many
 COARSE = 50  # 5 ms: by so much a socket's clock may be off
+ROWS = 256  # rows of a stream written in one go; then the kernel must have taken them
 NUMBERS = 1 << 32  # of sessions, as the protocol's greeting has room for
 
 
 class Client:
     """One session, and what is known of it beside its packets."""
 
-    __slots__ = ("session", "pipe", "served", "free", "number", "knocked", "let_in", "first")
+    __slots__ = (
+        "session",
+        "pipe",
+        "served",
+        "free",
+        "number",
+        "knocked",
+        "let_in",
+        "first",
+        "stream",
+        "empty",
+    )
 
     def __init__(self, number: int, longest: int) -> None:
         self.number = number
@@ -34,10 +49,18 @@
         self.knocked = 0  # when the kernel took the connection
         self.let_in = 0  # when its login was answered
         self.first = True  # it has not asked anything yet
+        self.stream: words.Stream | None = None  # that is being passed on
+        self.empty: anyio.Event | None = None  # set when the kernel has taken all
 
     def unread(self) -> bool:
         return self.pipe.unread()
 
+    async def drained(self) -> None:
+        """Until the kernel has taken all that was written, or the connection is gone."""
+        while self.pipe.left and not self.pipe.closed:
+            self.empty = anyio.Event()
+            await self.empty.wait()
+
 
 class Door:
     """Sessions by number. `left` is called with the session of a client that gave up, or is gone; `margin`
@@ -53,11 +76,13 @@
         clock: Callable[[], int],
         left: Callable[[int], None],
         margin: Callable[[int], int],
+        passed: Callable[[int], None],
+        unreadable: Callable[[int, str], None],
     ) -> None:
         self.seats = Seats(places)
         self.packet = packet
         self.poller, self.rounds, self.log, self.clock, self.left = poller, rounds, log, clock, left
-        self.margin = margin
+        self.margin, self.passed, self.unreadable = margin, passed, unreadable
         self.clients: dict[int, Client] = {}
         self.listener: socket.socket | None = None
         self.served = 0
@@ -135,6 +160,8 @@
         """Its socket has something to read, or takes bytes again."""
         if writable and not client.pipe.closed:
             client.pipe.flush()
+            if client.empty is not None and not client.pipe.left:
+                client.empty.set()
             self.commands(client)
         if readable and not client.pipe.closed:
             self.read(client)
@@ -217,6 +244,8 @@
         """Ends a session: its client is gone, or must go."""
         client.session.over = True
         client.pipe.close()
+        if client.empty is not None:
+            client.empty.set()
         if self.clients.pop(client.number, None) is not None:
             self.seats.leave(client.number)
             self.left(client.number)
@@ -258,6 +287,43 @@
         if client := self.clients.get(session):
             self.answered(client, client.session.failed(packets.FAILED, why))
 
+    async def pass_on(self, session: int, stream: words.Stream) -> None:
+        """Passes a stream of batches on as rows, no faster than its client reads."""
+        from hillchute.protocol import sql as arrow  # only where an engine speaks Flight
+
+        client, reading, begun = self.clients.get(session), arrow.Reading(), False
+        if client is None:
+            stream.close()
+            return
+        client.stream = stream
+        try:
+            while (raw := await stream.read()) is not None:
+                batch = reading.take(raw)
+                if not begun and reading.schema is not None:
+                    begun = True
+                    client.pipe.put(client.session.begin(reading.schema.names))
+                rows = list(arrow.to_rows(batch)) if batch is not None else []
+                for start in range(0, len(rows), ROWS):
+                    client.pipe.put(client.session.more(rows[start : start + ROWS]))
+                    await client.drained()
+                    if client.pipe.closed or client.stream is not stream:
+                        stream.close()
+                        return
+        except arrow.Unreadable as fault:
+            stream.close()
+            self.unreadable(session, str(fault))
+            return
+        if client.stream is stream and not stream.broken:
+            client.stream = None
+            self.passed(session)
+            self.answered(client, client.session.end())
+
+    def cut(self, session: int, why: str) -> None:
+        """A result that was begun can't be ended: the protocol allows an error in the place of its end."""
+        if client := self.clients.get(session):
+            client.stream = None
+            self.answered(client, client.session.failed(packets.FAILED, why))
+
     def answered(self, client: Client, data: bytes) -> None:
         client.free = self.clock()
         client.pipe.put(data)
--- a/hillchute/fronts/mysql/packets.py
+++ b/hillchute/fronts/mysql/packets.py
@@ -77,6 +77,7 @@
 
 
 EOF = b"\xfe" + struct.pack("<HH", 0, AUTOCOMMIT)
+NULL = b"\xfb"
 OK = b"\0\0\0" + struct.pack("<HH", AUTOCOMMIT, 0)
 ROW = b"%c\0\0%c%c%b%c%b%c%b"
 HEADER = (length(len(COLUMNS)), *(column(name) for name in COLUMNS), EOF)
@@ -217,6 +218,18 @@
     def failed(self, kind: tuple[int, bytes], message: str) -> bytes:
         return self.answer([error(kind, message)])
 
+    def begin(self, names: Iterable[str]) -> bytes:
+        """The head of a result set whose rows come bit by bit; the command stays open."""
+        columns = [column(name.encode()) for name in names]
+        return self.packets((length(len(columns)), *columns, EOF))
+
+    def more(self, rows: Iterable[Sequence[bytes | None]]) -> bytes:
+        """Rows of a result set that was begun; None is NULL."""
+        return self.packets(b"".join(NULL if v is None else text(v) for v in row) for row in rows)
+
+    def end(self) -> bytes:
+        return self.answer([EOF])
+
     def result(self, rows: Iterable[Sequence[bytes]]) -> bytes:
         """A result set. Rows of short columns, nearly all there are, are written in one step each."""
         out = [self.packets(HEADER)]
--- /dev/null
+++ b/hillchute/operator/reading.py
@@ -0,0 +1,46 @@
+"""Reads an operator file against the schema in this package, defaults filled in.
+
+Owns the file's place on disk and what refers to other files. Must never hold a tuned value: those stand in
+schema.cue with their bounds and their words.
+"""
+
+from functools import cache
+from importlib.resources import files
+from pathlib import Path
+
+from hillchute.operator.records import BadRecord, Document, Holding, explain, parse
+
+
+@cache
+def schema() -> Document:
+    return parse(files(__package__).joinpath("schema.cue").read_text(), "schema.cue")
+
+
+def read(path: str | Path) -> dict[str, object]:
+    """What holds after defaults, as nested records; raises BadRecord with every fault, one a line."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as fault:
+        raise BadRecord(f"{path}: {fault.strerror}") from None
+    except UnicodeDecodeError:
+        raise BadRecord(f"{path}: not UTF-8 text") from None
+    return hold(text, str(path))
+
+
+def hold(text: str, name: str = "operator file") -> dict[str, object]:
+    settings = Holding(schema(), parse(text, name)).whole()
+    for n, user in enumerate((settings.get("flight") or {}).get("users", ())):
+        here = f"flight.users[{n}]"
+        if sum(key in user for key in ("password", "password_file", "token", "token_file")) != 1:
+            raise BadRecord(f"{name}: {here}: expected one of password, password_file, token, token_file")
+    return settings
+
+
+def defaults() -> dict[str, object]:
+    """What holds where there is no operator file."""
+    return hold("", "no file")
+
+
+def fields() -> list[tuple[str, str, str]]:
+    """Every field: its path, what it may be, its doc text."""
+    return list(explain(schema()))
--- /dev/null
+++ b/hillchute/operator/schema.cue
@@ -0,0 +1,68 @@
+// What an operator may set beside the platform's configuration. Everything here is off unless it is set.
+
+// Clients that speak Arrow Flight SQL.
+flight?: #Flight
+
+// How sql engines are reached.
+engines: #Engines
+
+// The log.
+log: #Log
+
+#Flight: {
+	// Where Flight SQL clients connect.
+	listen: string & =~"^(\\[[0-9a-fA-F:]+\\]|[^:\\[\\]]+):[0-9]+$"
+	// Who may connect; with none, whoever can reach the port.
+	users: [...#User]
+	// Keys of the server; without them the connection is plain.
+	tls?: #Tls
+	// The resource group of a call that names none.
+	default_route: string | *""
+	// How long a client that states no patience waits, in milliseconds.
+	default_patience_ms: int & >=1 & <=86400000 | *5000
+	// Tickets that were handed out and not used yet.
+	tickets: int & >=1 & <=1000000 | *10000
+	// How long a ticket may be used, in milliseconds.
+	ticket_ms: int & >=100 & <=3600000 | *60000
+	// Prepared statements that are open.
+	prepared: int & >=1 & <=1000000 | *1000
+	// Bytes of one message, statements included.
+	message_bytes: int & >=65536 & <=268435456 | *16777216
+	// Streams to clients that are open at once.
+	streams: int & >=1 & <=100000 | *256
+}
+
+#User: {
+	name: string & =~"^[^:\\s]+$"
+	// The password for basic authentication, or the file that holds it.
+	password?:      string
+	password_file?: string
+	// The token for bearer authentication, or the file that holds it.
+	token?:      string
+	token_file?: string
+}
+
+#Tls: {
+	certificate: string
+	key:         string
+	// With it, clients must show a certificate that this authority signed.
+	client_authority?: string
+	// How often the files are looked at for new keys, in milliseconds.
+	reload_ms: int & >=100 | *1000
+}
+
+#Engines: {
+	// The protocol that all sql engines speak.
+	protocol: *"line" | "flight"
+	// Bytes of one message of a Flight engine.
+	message_bytes: int & >=65536 & <=268435456 | *16777216
+	// With it, the engines' certificates are held against this authority; without, connections are plain.
+	authority?: string
+	// The token that is shown to the engines.
+	token?: string
+}
+
+#Log: {
+	// Lines of one event in a second; more are counted, not written.
+	alike: int & >=1 | *20
+}
--- a/hillchute/router/__main__.py
+++ b/hillchute/router/__main__.py
@@ -1,9 +1,12 @@
-"""Starts one router: python -m hillchute.router, told what it needs by EDGE_NAME, EDGE_LISTEN and
-EDGE_CONFIG.
+"""Starts one router: python -m hillchute.router, told what it needs by EDGE_NAME, EDGE_LISTEN, EDGE_CONFIG.
+
+HILLCHUTE_OPERATOR may name an operator file, without which nothing beyond the platform's protocol is on.
 """
 
+import os
 import signal
 import sys
+from collections.abc import Mapping
 
 import anyio
 
@@ -13,22 +16,33 @@
 from hillchute.router.service import SIGNALS, Service
 
 
-async def serve(station: config.Station) -> None:
+async def serve(station: config.Station, operator: Mapping[str, object] | None) -> None:
     log = Log(station.name)
     lifecycle = Lifecycle(log)
-    await Service(station, log, lifecycle).run()
+    await Service(station, log, lifecycle, operator=operator).run()
     log.flush()
 
 
-def main() -> int:
+def main(operator_file: str | None = None) -> int:
     # A signal that comes during the start waits until there is somebody to heed it.
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    operator_file = operator_file or os.environ.get("HILLCHUTE_OPERATOR")
+    operator = None
     try:
         station = config.read()
+        if operator_file:
+            from hillchute.operator import reading  # the grammar's library is an extra
+
+            operator = reading.read(operator_file)
     except config.BadConfiguration as fault:
         print(f"hillchute: {fault}", file=sys.stderr)
         return 2
-    anyio.run(serve, station, backend_options={"use_uvloop": True})
+    except Exception as fault:
+        if type(fault).__name__ != "BadRecord":
+            raise
+        print(f"hillchute: {fault}", file=sys.stderr)
+        return 2
+    anyio.run(serve, station, operator, backend_options={"use_uvloop": True})
     return 0
 
 
--- a/hillchute/router/events.py
+++ b/hillchute/router/events.py
@@ -33,6 +33,13 @@
     session: int
 
 
+class Spoilt(NamedTuple):
+    """A stream that is passed on to a session brings what can't be read."""
+
+    session: int
+    why: str
+
+
 class Connected(NamedTuple):
     line: int
 
@@ -67,7 +74,7 @@
     end: Time
 
 
-Event = Asked | Left | Passed | Connected | NotConnected | Said | Lost | Told | Tick | Closing
+Event = Asked | Left | Passed | Spoilt | Connected | NotConnected | Said | Lost | Told | Tick | Closing
 
 
 def told_by(event: Event) -> tuple:
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -28,6 +28,7 @@
     Passed,
     Said,
     Send,
+    Spoilt,
     Stream,
     Tick,
     Told,
@@ -65,6 +66,7 @@
             Asked: self.take,
             Left: self.left,
             Passed: self.passed,
+            Spoilt: self.spoilt,
             Connected: self.lines.connected,
             NotConnected: self.lines.not_connected,
             Said: self.said,
@@ -382,6 +384,16 @@
         if q is not None:
             self.answer(q, None, "finished")
 
+    def spoilt(self, session: int, why: str) -> None:
+        q = self.asking.get(session)
+        if q is None:
+            return
+        for leg in q.legs:
+            if leg.stream is not None and not leg.over:
+                self.leg_over(leg, "severed", give_up=True)
+        self.module.left(self.desk.now, q.request.id)
+        self.answer(q, Cut(session, f"the result can't be read: {why}"), "cut")
+
     def stream_over(self, id: str) -> None:
         """The end of a query whose client has not read all of its stream."""
         q = self.queries.get(id)
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -11,7 +11,7 @@
 import time
 import traceback
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import anyio
 import anyio.abc
@@ -39,6 +39,8 @@
 COLLECT = (10_000, 10, 10)  # objects made before a collection: the usual 700 are a few queries only
 LAG = 0.05  # seconds that a timer may come late before it is logged
 BEFORE_A_FAULT = 200  # events of the trace that are written with a fault
+FLIGHT_FIRST = 1 << 40  # sessions from here on are calls of the Flight front
+HANG_UP_TIME = 0.3  # seconds that calls of the Flight front have when the router hangs up
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 
 
@@ -54,7 +56,9 @@
         lifecycle: Lifecycle,
         poller: Poller | None = None,
         clock: Callable[[], int] = clock,
+        operator: Mapping[str, object] | None = None,
     ) -> None:
+        """`operator`: what holds of the operator file; nothing of it is on without one."""
         self.station = station
         self.log = log
         self.lifecycle = lifecycle
@@ -73,8 +77,12 @@
             clock,
             left=self.gave_up,
             margin=self.reducer.lateness.margin,
+            passed=lambda session: self.handle(events.Passed(session)),
+            unreadable=lambda session, why: self.handle(events.Spoilt(session, why)),
         )
-        self.links = Links(self.poller, log, self.handle, self.reducer.lines.connect_wait)
+        operator = operator or {}
+        self.links = self.engine_links(operator.get("engines", {}))
+        self.flight = self.flight_front(operator["flight"]) if operator.get("flight") else None
         self.follower = Follower(
             log,
             news=lambda news: self.handle(events.Told(news)),
@@ -89,6 +97,23 @@
         self.dumped = 0  # when the trace was last written with a fault
         self.tasks: anyio.abc.TaskGroup
 
+    def engine_links(self, settings: Mapping[str, object]) -> Links:
+        lines = self.reducer.lines
+        if settings.get("protocol") != "flight":
+            return Links(self.poller, self.log, self.handle, lines.connect_wait)
+        from hillchute.engines.flight.links import Links as FlightLinks
+
+        return FlightLinks(settings, self.log, self.handle, lines.connect_wait, lines.silence)
+
+    def flight_front(self, settings: Mapping[str, object]):
+        from hillchute.fronts.flight.server import Server
+
+        return Server(settings, self.reducer.groups, self.log, self.clock, self.handle)
+
+    def front(self, session: int):
+        """Who has the client of a session: calls of the Flight front have their numbers above all others."""
+        return self.door if self.flight is None or session < FLIGHT_FIRST else self.flight
+
     # ---- events in, effects out -------------------------------------------------------------------
 
     def handle(self, event: events.Event) -> None:
@@ -118,11 +143,18 @@
     def carry_out(self, effect: events.Effect) -> None:
         match effect:
             case events.Finish(session, rows):
-                self.door.finish(session, rows)
+                self.front(session).finish(session, rows)
+            case events.Stream(session, stream):
+                if session < FLIGHT_FIRST:
+                    self.tasks.start_soon(self.door.pass_on, session, stream)
+                else:
+                    self.flight.begin(session, stream)
+            case events.Cut(session, why):
+                self.front(session).cut(session, why)
             case events.Defer(session, after):
-                self.door.defer(session, after)
+                self.front(session).defer(session, after)
             case events.Kill(session, why):
-                self.door.kill(session, why)
+                self.front(session).kill(session, why)
             case events.Connect(line, host, port):
                 self.links.open(line, host, port, self.tasks)
             case events.HangUp(line):
@@ -238,6 +270,8 @@
             self.tasks.start_soon(self.sweep)
             self.follower.move(self.station.bus, self.tasks)
             self.tasks.start_soon(self.work)
+            if self.flight is not None:
+                await self.flight.open()
             gc.collect()
             gc.freeze()  # what the start has made lives to the end: no later collection need look at it
             gc.set_threshold(*COLLECT)
@@ -246,6 +280,8 @@
             self.leave()
             while self.step_out() != GONE:
                 await anyio.sleep(STEP)
+            if self.flight is not None:
+                await self.flight.close(HANG_UP_TIME)
             self.tasks.cancel_scope.cancel()
         self.lifecycle.enter(Phase.STOPPED)
 
--- a/hillchute/statements/request.py
+++ b/hillchute/statements/request.py
@@ -5,8 +5,10 @@
 """
 
 import re
+from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
+FIELD = re.compile(rb"(^|,)\s*(route|trace|patience)\s*=")
 WANTED = re.compile(rb"\s*/\*(.*?)\*/", re.DOTALL)
 HEX16 = re.compile(r"[0-9a-f]{16}", re.IGNORECASE)
 HEX = re.compile(r"[0-9a-f]{1,64}", re.IGNORECASE)  # the protocol's own are 16 or 32 digits
@@ -50,30 +52,31 @@
     return text
 
 
-def read(text: bytes) -> Request:
-    """The request that a COM_QUERY holds."""
+def read(
+    text: bytes, beside: Mapping[str, str] | None = None, missing: Mapping[str, str] | None = None
+) -> Request:
+    """The request that a statement and its fields make: those in the comment ahead of it, those that came
+    `beside` it where the protocol has a place for them (then the comment may be absent), and what a front
+    gives where both are silent. A field that both state must be the same."""
     head = WANTED.match(text)
+    if head is not None and beside is not None and not FIELD.search(head[1]):
+        head = None  # an ordinary comment
+    fields = dict(beside or {})
     if head is None:
-        raise Misread("no comment with fields ahead of the statement")
-    fields: dict[str, str] = {}
-    try:
-        pairs = head[1].decode("ascii").strip().split(",")
-    except UnicodeDecodeError:
-        raise Misread("the comment with the fields is not ASCII") from None
-    for pair in pairs:
-        name, sign, value = pair.partition("=")
-        name, value = name.strip(), value.strip()
-        if not sign or not value:
-            raise Misread(f"field {name[:40]} has no value")
-        if name in fields:
+        if beside is None:
+            raise Misread("no comment with fields ahead of the statement")
+        own, statement = {}, text.lstrip()
+    else:
+        own, statement = comment(head[1]), text[head.end() :].lstrip()
+    for name, value in own.items():
+        if fields.setdefault(name, value) != value:
             raise Misread(f"field {name[:40]} stands twice")
-        fields[name] = value
+    fields = {**(missing or {}), **fields}
     for name in ("route", "trace", "patience"):
         if name not in fields:
             raise Misread(f"field {name} is absent")
     if not HEX16.fullmatch(fields["trace"]):
         raise Misread("field trace is not 16 hex digits")
-    statement = text[head.end() :].lstrip()
     if not statement:
         raise Misread("no statement after the comment")
     return Request(
@@ -88,6 +91,24 @@
     )
 
 
+def comment(text: bytes) -> dict[str, str]:
+    """The fields of a leading comment."""
+    fields: dict[str, str] = {}
+    try:
+        pairs = text.decode("ascii").strip().split(",")
+    except UnicodeDecodeError:
+        raise Misread("the comment with the fields is not ASCII") from None
+    for pair in pairs:
+        name, sign, value = pair.partition("=")
+        name, value = name.strip(), value.strip()
+        if not sign or not value:
+            raise Misread(f"field {name[:40]} has no value")
+        if name in fields:
+            raise Misread(f"field {name[:40]} stands twice")
+        fields[name] = value
+    return fields
+
+
 # Strings with doubled or escaped quotes, all comment forms, quoted names, words and dots, in that order.
 TOKEN = re.compile(
     rb"""'(?:[^'\\]|\\.|'')*'?|"(?:[^"\\]|\\.|"")*"?|/\*.*?(?:\*/|\Z)|--(?=[\s\x00-\x1f]|\Z)[^\n]*|\#[^\n]*"""
@@ -124,3 +145,24 @@
         elif not token[0].isspace() and not token[0].startswith((b"/*", b"--", b"#")):
             name, after_dot, last = None, False, token[0]
     return first
+
+
+def tokens(statement: bytes) -> Iterator[bytes]:
+    """The statement in pieces that give it again when joined; a question mark that is none of a string, a
+    name or a comment is a piece of its own."""
+    for token in TOKEN.finditer(statement):
+        text = token[0]
+        if (
+            token["quoted"] is not None
+            or token["word"] is not None
+            or text[:1] in b"'\"#"
+            or text[:2] in (b"/*", b"--")
+        ):
+            yield text
+            continue
+        parts = text.split(b"?")
+        for n, part in enumerate(parts):
+            if n:
+                yield b"?"
+            if part:
+                yield part
--- a/tests/test_full_core.py
+++ b/tests/test_full_core.py
@@ -220,7 +220,7 @@
 
 def door(*wires):
     """A door whose places are all taken by sessions in a step that is not complete."""
-    made = Door(len(wires), 1000, None, Rounds(), None, lambda: 0, lambda session: None, lambda patience: 0)
+    made = Door(len(wires), 1000, None, Rounds(), None, lambda: 0, lambda session: None, None, None, None)
     for number, wire in enumerate(wires):
         client = made.clients[number] = Client(number, 1000)
         client.pipe = wire
