Flight SQL with real clients: tests of the hard cases, and what they found mended

Found by the tests: a stream closed at its deadline ended the router (the cancel of the read came up in its reader's task); an update's count was read out of rows; the operator file's strings were read as Python's. Tests: adbc and pyarrow.flight connect, list, query, prepare, update, cancel; tickets forged, used twice, of another client; streams cut, spoilt, past their deadline; loads resent over the other front; drain and end of engines; keys read anew, expired, unknown; a statement of 100 MB.

--- a/hillchute/cli/commands.py
+++ b/hillchute/cli/commands.py
@@ -170,7 +170,7 @@
 def main(arguments: list[str] | None = None) -> int:
     """The command line; a wrong word on it is told on standard error, with exit code 2."""
     try:
-        result = app(arguments, exit_on_error=False, print_error=True)
+        result = app(arguments, exit_on_error=False, print_error=True, result_action="return_value")
     except cyclopts.CycloptsError:
         return 2
     return result if isinstance(result, int) else 0
--- a/hillchute/engines/flight/links.py
+++ b/hillchute/engines/flight/links.py
@@ -48,6 +48,10 @@
             return None
         try:
             raw = await self.call.read()
+        except anyio.get_cancelled_exc_class():
+            if self.over:  # closed from this side while it was read: that is no cancel of the reader
+                return None
+            raise
         except grpc.aio.AioRpcError as fault:
             self.broken = True
             self.ended(ending(fault), fault.trailing_metadata())
@@ -322,7 +326,7 @@
         trailers = await call.trailing_metadata()
         if link.runs.pop(run.id, None) is not None:
             work, report = figures(trailers)
-            link.say(words.Whole(run.id, [[str(count).encode(), b"", b""]], work, report))
+            link.say(words.Whole(run.id, [[str(count).encode(), words.CHANGED, b""]], work, report))
 
     async def act(self, link: Link, kind: str, body: str) -> bytes | None:
         """An action of the engines' own; None where it came to nothing."""
--- a/hillchute/engines/words.py
+++ b/hillchute/engines/words.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple, Protocol
 
 Rows = list[list[bytes]]  # three text columns, in order
+CHANGED = b"records changed"  # beside the count, in the one row that tells what an update did
 
 # ---- commands -------------------------------------------------------------------------------------
 
--- a/hillchute/fronts/flight/server.py
+++ b/hillchute/fronts/flight/server.py
@@ -522,6 +522,6 @@
 
 def changed(rows: words.Rows) -> int:
     """The count of records that an update's one row states, or the number of its rows."""
-    if len(rows) == 1 and rows[0][0].isdigit():
+    if len(rows) == 1 and rows[0][1] == words.CHANGED:
         return int(rows[0][0])
     return len(rows)
--- a/hillchute/lab/clients.py
+++ b/hillchute/lab/clients.py
@@ -141,6 +141,8 @@
                 await (self.put if query.token else self.get)(query)
             if not scope.cancelled_caught:
                 query.answered.append((self.world.clock(), "finished"))
+        except arrow.Unreadable:
+            query.answered.append((self.world.clock(), "unreadable"))
         except grpc.aio.AioRpcError as fault:
             said = reason(fault.trailing_metadata())
             how = "deferred" if said in DEFERRED else "killed" if said else f"unknown {fault.code()}"
--- a/hillchute/operator/records.py
+++ b/hillchute/operator/records.py
@@ -4,7 +4,6 @@
 the words in which a fault is told: file, line, path, what was expected. Must never know a setting by name.
 """
 
-import ast
 import re
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -12,6 +11,7 @@
 from importlib.resources import files
 from typing import Union
 
+import orjson
 from lark import Lark, Token, Tree, UnexpectedInput
 
 DEEPEST = 32  # records in records: a file that refers to itself ends here
@@ -117,8 +117,14 @@
     except UnexpectedInput as fault:
         seen = text[fault.pos_in_stream :].split("\n")[0][:30] if fault.pos_in_stream is not None else ""
         raise BadRecord(f"{name}:{fault.line}: can't be read at {seen!r}") from None
+    try:
+        return document(tree, docs(text), name)
+    except BadRecord as fault:
+        raise BadRecord(f"{name}:{fault}") from None
+
+
+def document(tree: Tree, comments: dict[int, str], name: str) -> Document:
     document = Document(name)
-    comments = docs(text)
     fields = []
     for node in tree.children:
         if node.data == "definition":
@@ -128,7 +134,7 @@
     document.record = Struct(tuple(fields), 1)
     twice = repeated(document.record)
     if twice is not None:
-        raise BadRecord(f"{name}:{twice.line}: {twice.name}: stands twice")
+        raise BadRecord(f"{twice.line}: {twice.name}: stands twice")
     return document
 
 
@@ -167,7 +173,10 @@
 
 
 def unquote(token: Token) -> str:
-    return ast.literal_eval(str(token))
+    try:
+        return orjson.loads(str(token))
+    except orjson.JSONDecodeError:
+        raise BadRecord(f"{token.line}: can't be read at {str(token)[:30]!r}") from None
 
 
 def build(node: Tree, comments: dict[int, str]) -> Constraint:
@@ -250,7 +259,7 @@
 def shown(value: object) -> str:
     if isinstance(value, bool) or value is None:
         return {True: "true", False: "false", None: "null"}[value]
-    return f'"{value}"' if isinstance(value, str) else str(value)
+    return orjson.dumps(value).decode() if isinstance(value, str) else str(value)
 
 
 class Holding:
--- /dev/null
+++ b/tests/test_flight.py
@@ -0,0 +1,530 @@
+"""Flight SQL: the front's pure parts, then real clients and stand-in engines round a router in a process."""
+
+import datetime
+import socket
+import time
+
+import anyio
+import anyio.from_thread
+import grpc
+import pyarrow as pa
+import pyarrow.flight
+import pytest
+from adbc_driver_flightsql import DatabaseOptions, StatementOptions
+from adbc_driver_flightsql import dbapi as adbc
+from conftest import CATALOG
+
+from hillchute.decision.teamwork import SECOND, Teamwork
+from hillchute.engines import words
+from hillchute.fronts.flight import answers, catalog, identity, tickets
+from hillchute.lab import rules
+from hillchute.lab.clients import Flight, MySQL, Query
+from hillchute.lab.fleet import deployed
+from hillchute.protocol import Flight_pb2 as flight
+from hillchute.protocol import FlightSql_pb2 as sql
+from hillchute.protocol import sql as arrow
+from hillchute.protocol.status import DETAILS, reason
+from hillchute.router import events
+from hillchute.router.reducer import Reducer
+from hillchute.statements import request as statements
+
+# ---- tickets and users ----------------------------------------------------------------------------
+
+
+def test_ticket_is_good_once_for_its_owner_in_its_time():
+    table = tickets.Table(b"k", 10, 100)
+    token = table.put(0, "bi", "query")
+    for owner, now, why in (("other", 0, "another client"), ("bi", 100, "too old")):
+        with pytest.raises(tickets.NotHeld, match=why):
+            table.take(now, owner, token)
+    assert table.take(99, "bi", token) == "query"
+    with pytest.raises(tickets.NotHeld, match="used already"):
+        table.take(99, "bi", token)
+
+
+@pytest.mark.parametrize(
+    "forge", [lambda t: b"", lambda t: t[:-1] + b"x", lambda t: b"\1" + t[1:], lambda t: t + b"x"]
+)
+def test_ticket_that_was_made_up_is_told_apart(forge):
+    table = tickets.Table(b"k", 10, 100)
+    token = table.put(0, "bi", "query")
+    with pytest.raises(tickets.NotHeld, match="not one that was given out"):
+        table.take(0, "bi", forge(token))
+
+
+def test_ten_thousand_open_tickets_are_a_bound_that_time_frees():
+    table = tickets.Table(b"k", 10_000, 100)
+    for n in range(10_000):
+        table.put(n // 1000, "bi", n)
+    with pytest.raises(tickets.Full):
+        table.put(99, "bi", "one more")
+    table.put(100, "bi", "the first thousand are too old now")
+    assert len(table.entries) == 9_001
+
+
+def test_users_come_in_by_password_or_token_and_no_other_way():
+    gate = identity.Gate([{"name": "bi", "password": "p:w"}, {"name": "etl", "token": "secret"}], b"k")
+    basic = identity.base64.b64encode(b"bi:p:w").decode()
+    given = gate.give(0, "bi")
+    assert gate.owner(0, f"Basic {basic}") == "bi"
+    assert gate.owner(0, "Bearer secret") == "etl"
+    assert gate.owner(identity.SPAN - 1, f"Bearer {given}") == "bi"
+    wrong = identity.base64.b64encode(b"etl:").decode()
+    for header in (None, "", f"Basic {wrong}", "Basic %", "Bearer x", "Bearer bi.9.9", f"Bearer {given}0"):
+        with pytest.raises(identity.Refused):
+            gate.owner(0, header)
+    with pytest.raises(identity.Refused):
+        gate.owner(identity.SPAN, f"Bearer {given}")
+    assert identity.Gate([], b"k").owner(0, None) == identity.ANYBODY
+
+
+# ---- fields and parameters --------------------------------------------------------------------------
+
+
+def test_fields_come_from_headers_the_comment_or_the_operator_and_must_agree():
+    text = b"/* route=report */ SELECT 1"
+    beside = {"route": "report", "patience": "5"}
+    read = statements.read(text, beside, {"trace": "a" * 16, "patience": "9"})
+    assert (read.group, read.patience, read.id, read.statement) == ("report", 50, "a" * 16, b"SELECT 1")
+    with pytest.raises(statements.Misread, match="route stands twice"):
+        statements.read(text, {"route": "lookup"}, {"trace": "a" * 16, "patience": "9"})
+    plain = statements.read(b"/* of BI */ SELECT 1", beside, {"trace": "a" * 16})
+    assert plain.statement == b"/* of BI */ SELECT 1"
+    with pytest.raises(statements.Misread, match="no comment"):
+        statements.read(b"SELECT 1")
+
+
+def test_parameters_are_put_where_marks_stand_and_nowhere_else():
+    text = "SELECT '?', `a?b`, \"?\" /* ? */ FROM t -- ?\nWHERE a=? AND b = ?"
+    assert catalog.marks(text) == 2
+    bound = catalog.bound(text, ["it's \\", None])
+    assert bound == text.replace("a=? AND b = ?", "a='it''s \\\\' AND b = NULL")
+    with pytest.raises(statements.Misread, match="2 are wanted, 1 are bound"):
+        catalog.bound(text, [1])
+
+
+# ---- batches ------------------------------------------------------------------------------------------
+
+
+def test_rows_become_batches_and_rows_again():
+    rows = [[b"1", b"", "ü".encode()]] * (arrow.STEP + 1)
+    reading = arrow.Reading()
+    parts = [reading.take(part.SerializeToString()) for part in arrow.from_rows(rows)]
+    assert [row for part in parts[1:] for row in arrow.to_rows(part)] == rows
+    assert len(list(arrow.from_rows([]))) == 1  # the schema alone
+    with pytest.raises(arrow.Unreadable, match="UTF-8"):
+        list(arrow.from_rows([[b"\xff", b"", b""]]))
+
+
+def test_batches_that_do_not_fit_are_unreadable():
+    whole = arrow.framed(arrow.PLAIN).SerializeToString()
+    other = arrow.framed(pa.schema([("x", pa.int32())])).SerializeToString()
+    batch = arrow.framed(pa.record_batch([["a"]] * 3, schema=arrow.PLAIN)).SerializeToString()
+    for parts in ([batch], [whole, other], [whole, batch[:-9]], [whole, b"\xff\xff"]):
+        reading = arrow.Reading()
+        with pytest.raises(arrow.Unreadable):
+            for part in parts:
+                reading.take(part)
+
+
+def test_command_that_is_none_is_unreadable():
+    for data in (b"\xff", b"", arrow.wrap(flight.Ticket(ticket=b"x"))):
+        with pytest.raises(arrow.Unreadable):
+            arrow.unwrap(data)
+
+
+# ---- streams in the reducer -----------------------------------------------------------------------
+
+
+class Held:
+    """Stands in for a stream."""
+
+    closed = False
+
+    def close(self):
+        self.closed = True
+
+
+class Streaming:
+    """A reducer with one query whose result has begun."""
+
+    def __init__(self):
+        catalog = CATALOG | {f"groups.{n}.name": name for n, name in enumerate(("lookup", "report", "load"))}
+        catalog |= {"limits.open_cap": 10, "limits.connect_timeout": 500, "limits.streams_per_conn": 8}
+        self.reducer = Reducer(Teamwork(7, catalog, 0), catalog, 10)
+        listing = events.event_bus.Listing(1, 0, 0, 0, 0, "Ready", 1.0)
+        entry = events.event_bus.Entry(listing, "127.0.0.1", 1)
+        self.do(events.Told(events.event_bus.News(1, "Complete", (entry,))))
+        asked = statements.Request("a" * 16, "lookup", 5 * SECOND, b"SELECT 1", cost=100)
+        (connect,) = self.do(events.Asked(1, asked, 0), kind=events.Connect)
+        self.line, self.stream = connect.line, Held()
+        self.do(events.Connected(self.line))
+        self.begun = self.do(events.Said(self.line, words.Began("a" * 16, self.stream)), 10)
+
+    def do(self, event, now=0, kind=None):
+        effects = self.reducer.reduce(event, now)
+        return [e for e in effects if kind is None or isinstance(e, kind)]
+
+    def finals(self, event, now=20):
+        return self.do(event, now, events.Finish | events.Defer | events.Kill | events.Cut)
+
+
+@pytest.fixture
+def streaming():
+    return Streaming()
+
+
+def test_stream_that_ends_well_is_finished_once_its_client_has_it(streaming):
+    assert events.Stream(1, streaming.stream) in streaming.begun
+    assert not streaming.finals(events.Said(streaming.line, words.Ended("a" * 16, "finished")))
+    assert streaming.reducer.asking
+    assert not streaming.finals(events.Passed(1)) and not streaming.reducer.queries
+    assert streaming.reducer.counts[("lookup", "finished")][0] == 1
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        lambda s: events.Said(s.line, words.Ended("a" * 16, "severed")),
+        lambda s: events.Lost(s.line, "reset"),
+        lambda s: events.Spoilt(1, "noise"),
+    ],
+)
+def test_stream_that_breaks_off_has_one_answer_and_no_further_submission(streaming, event):
+    assert [type(e) for e in streaming.finals(event(streaming))] == [events.Cut]
+    assert streaming.stream.closed and not streaming.reducer.asking
+    later = [streaming.do(events.Tick(), now) for now in (SECOND, 5 * SECOND)]
+    assert not [e for effects in later for e in effects if not isinstance(e, events.Alarm | events.Note)]
+
+
+def test_client_that_leaves_a_stream_ends_its_run(streaming):
+    effects = streaming.do(events.Left(1), 20)
+    assert events.Send(streaming.line, words.GiveUp("a" * 16)) in effects and streaming.stream.closed
+    assert not [e for e in effects if isinstance(e, events.Cut | events.Kill | events.Defer)]
+
+
+def test_client_that_does_not_read_is_cut_at_its_end(streaming):
+    streaming.do(events.Said(streaming.line, words.Ended("a" * 16, "finished")), 20)
+    due = streaming.reducer.queries["a" * 16].due
+    assert not streaming.finals(events.Tick(), due - 1)
+    assert [type(e) for e in streaming.finals(events.Tick(), due)] == [events.Cut]
+    assert not streaming.finals(events.Passed(1), due + 1)
+
+
+# ---- a router in a process --------------------------------------------------------------------------
+
+USERS = """
+flight: {
+    listen: "127.0.0.1:FLIGHT_PORT"
+    default_route: "lookup"
+    message_bytes: 1048576
+    users: [{name: "bi", password: "pw"}, {name: "etl", token: "secret"}, {name: "two", token: "other"}]
+}
+engines: {protocol: "ENGINES"}
+"""
+SELECT = "SELECT /* lab rows=30 batches=3 */ day FROM sales_17.orders"
+LOAD = "INSERT /* lab rows=1 ms=3 */ INTO sales_4.orders SELECT * FROM staging.orders"
+
+
+class Site:
+    """A toy deployment in the background, for clients that block."""
+
+    def __init__(self, portal, fleet, router):
+        self.portal, self.fleet, self.router = portal, fleet, router
+        self.uri = f"grpc://127.0.0.1:{router.flight_port}"
+
+    def connect(self, **headers):
+        headers = {f"x-hillchute-{name}": value for name, value in headers.items()}
+        options = {DatabaseOptions.AUTHORIZATION_HEADER.value: "Bearer secret"}
+        prefix = DatabaseOptions.RPC_CALL_HEADER_PREFIX.value
+        options |= {prefix + name: value for name, value in headers.items()}
+        return adbc.connect(self.uri, db_kwargs=options, autocommit=True)
+
+    def ask(self, *queries, front=Flight):
+        """Queries one after the other on one connection of the lab's own clients."""
+
+        async def all_of_them():
+            port = self.router.flight_port if front is Flight else self.router.port
+            client = (
+                Flight(self.fleet.world, port, "secret") if front is Flight else front(self.fleet.world, port)
+            )
+            for q in queries:
+                await client.ask(q)
+            await client.close()
+
+        self.portal.call(all_of_them)
+        return [q.how for q in queries]
+
+    def runs(self, q):
+        return [r for r in self.fleet.world.ran if r.id == q.id]
+
+
+def site(engines):
+    with anyio.from_thread.start_blocking_portal() as portal:
+        made = deployed(engines, 3, USERS.replace("ENGINES", engines))
+        with portal.wrap_async_context_manager(made) as (fleet, router):
+            yield Site(portal, fleet, router)
+            assert not router.faults()
+
+
+@pytest.fixture(scope="module")
+def on_flight():
+    yield from site("flight")
+
+
+@pytest.fixture(scope="module")
+def on_line():
+    yield from site("line")
+
+
+@pytest.fixture(params=["flight", "line"])
+def either(request):
+    return request.getfixturevalue(f"on_{request.param}")
+
+
+@pytest.fixture(params=["flight", "line"])
+def fresh(request):
+    """A deployment of its own, for tests that end engines."""
+    yield from site(request.param)
+
+
+def test_adbc_client_connects_lists_queries_and_updates(either):
+    with either.connect() as connection, connection.cursor() as cursor:
+        assert connection.adbc_get_info()["vendor_name"] == "hillchute"
+        assert connection.adbc_get_table_types() == ["RESOURCE GROUP"]
+        objects = connection.adbc_get_objects(depth="tables").read_all().to_pylist()
+        tables = objects[0]["catalog_db_schemas"][0]["db_schema_tables"]
+        assert {t["table_name"] for t in tables} == {"lookup", "report", "event-load"}
+        cursor.execute(SELECT)
+        rows = cursor.fetchall()
+        assert len(rows) == 30 and rows[29][0] == "29"
+        cursor.execute("SELECT /* lab rows=0 */ day FROM sales_17.orders")
+        assert cursor.fetchall() == []
+
+
+def test_adbc_client_prepares_binds_and_runs_again(either):
+    with either.connect() as connection, connection.cursor() as cursor:
+        for day in ("1", "2"):
+            cursor.execute(f"{SELECT} WHERE day = ?", parameters=(day,))
+            assert len(cursor.fetchall()) == 30
+        cursor.adbc_prepare(SELECT)
+        cursor.execute(SELECT)
+        assert len(cursor.fetchall()) == 30
+
+
+def test_adbc_update_runs_once_for_its_token(either):
+    headers = {"route": "event-load", "nonce": "ab" * 16, "entity": "0f" * 8}
+    with either.connect(**headers) as connection, connection.cursor() as cursor:
+        for _ in range(2):
+            cursor.adbc_statement.set_sql_query(LOAD)
+            assert cursor.adbc_statement.execute_update() == 1
+    effects = [r for r in either.fleet.world.ran if r.token == "ab" * 16 and r.effect]
+    assert len(effects) == 1
+
+
+def test_adbc_errors_say_what_was_wrong(either):
+    with either.connect(route="nobody") as connection, connection.cursor() as cursor:
+        with pytest.raises(adbc.Error, match="route names no resource group"):
+            cursor.execute(SELECT)
+            cursor.fetchall()
+    with either.connect(patience="soon") as connection, connection.cursor() as cursor:
+        with pytest.raises(adbc.Error, match="patience is not a number"):
+            cursor.execute(SELECT)
+
+
+def test_adbc_cancel_ends_the_run(on_flight):
+    with on_flight.connect() as connection, connection.cursor() as cursor:
+        cursor.adbc_statement.set_options(**{StatementOptions.TIMEOUT_FETCH.value: 0.3})
+        with pytest.raises(adbc.Error):
+            cursor.execute("SELECT /* lab hang=1 */ day FROM sales_17.orders")
+            cursor.fetchall()
+    wait_for(lambda: all(r.ended for r in on_flight.fleet.world.ran if r.result != "finished"))
+
+
+def test_pyarrow_client_with_a_password_reads_and_is_refused_with_a_wrong_one(either):
+    client = pa.flight.connect(either.uri)
+    token = client.authenticate_basic_token(b"bi", b"pw")
+    options = pa.flight.FlightCallOptions(headers=[token])
+    command = arrow.command(sql.CommandStatementQuery(query=SELECT)).cmd
+    info = client.get_flight_info(pa.flight.FlightDescriptor.for_command(command), options)
+    assert client.do_get(info.endpoints[0].ticket, options).read_all().num_rows == 30
+    with pytest.raises(pa.ArrowException, match="used already"):
+        client.do_get(info.endpoints[0].ticket, options).read_all()
+    with pytest.raises(pa.flight.FlightUnauthenticatedError):
+        client.authenticate_basic_token(b"bi", b"no")
+    with pytest.raises(pa.flight.FlightUnauthenticatedError):
+        client.get_flight_info(pa.flight.FlightDescriptor.for_command(command))
+    client.close()
+
+
+def test_ticket_of_another_client_is_refused(either):
+    client = pa.flight.connect(either.uri)
+    mine, theirs = (
+        pa.flight.FlightCallOptions(headers=[(b"authorization", b"Bearer " + token)])
+        for token in (b"secret", b"other")
+    )
+    command = arrow.command(sql.CommandStatementQuery(query=SELECT)).cmd
+    info = client.get_flight_info(pa.flight.FlightDescriptor.for_command(command), mine)
+    with pytest.raises(pa.ArrowException, match="another client"):
+        client.do_get(info.endpoints[0].ticket, theirs).read_all()
+    with pytest.raises(pa.ArrowException, match="not one that was given out"):
+        forged = arrow.wrap(sql.TicketStatementQuery(statement_handle=b"x" * 24))
+        client.do_get(pa.flight.Ticket(forged), mine).read_all()
+    client.close()
+
+
+def test_statement_over_the_bound_is_refused_before_it_is_read(on_flight):
+    (how,) = on_flight.ask(Query("lookup", "SELECT '" + "x" * 100_000_000 + "'"))
+    assert how == "unknown StatusCode.RESOURCE_EXHAUSTED"
+    assert on_flight.ask(Query("lookup", SELECT)) == ["finished"]
+
+
+@pytest.mark.parametrize("front", [MySQL, Flight])
+def test_stream_cut_by_its_engine_has_one_answer_and_one_run(on_flight, front):
+    q = Query("report", "SELECT /* lab rows=30 batches=3 cut=2 */ day FROM sales_17.orders")
+    assert on_flight.ask(q, front=front) == ["killed"]
+    assert len(on_flight.runs(q)) == 1 and 0 < q.rows < 30
+
+
+@pytest.mark.parametrize("front", [MySQL, Flight])
+def test_spoilt_result_is_not_passed_on_as_finished(either, front):
+    q = Query("lookup", "SELECT /* lab rows=30 batches=3 spoilt=1 */ day FROM sales_17.orders", patience=900)
+    (how,) = either.ask(q, front=front)
+    undecoded = (front, either.fleet.protocol) == (Flight, "flight")
+    assert how in (("unreadable",) if undecoded else ("killed", "deferred"))
+
+
+@pytest.mark.parametrize("front", [MySQL, Flight])
+def test_deadline_passes_in_the_middle_of_a_stream(on_flight, front):
+    slow = "SELECT /* lab rows=30 batches=30 pause=100 */ day FROM sales_17.orders"
+    q = Query("report", slow, patience=1_500)
+    assert on_flight.ask(q, front=front) == ["killed"]
+    assert not rules.one_answer(q) and len(on_flight.runs(q)) == 1 and 0 < q.rows < 30
+
+
+def test_load_resent_over_the_other_front_has_its_effect_once(either):
+    token, key = "cd" * 16, "1e" * 8
+    first, second = (Query("event-load", LOAD, token=token, key=key) for _ in range(2))
+    assert either.ask(first, front=MySQL) + either.ask(second) == ["finished"] * 2
+    third, fourth = (Query("event-load", LOAD, token="ef" * 16, key=key) for _ in range(2))
+    assert either.ask(third) + either.ask(fourth, front=MySQL) == ["finished"] * 2
+    assert not rules.broken(either.fleet.world, [first, second, third, fourth])
+    assert sum(r.effect for q in (first, second, third, fourth) for r in either.runs(q)) == 2
+
+
+def test_ways_in_which_calls_end_have_their_codes(either):
+    never = Query("lookup", "SELECT /* lab full=-1 */ day FROM sales_17.orders", patience=400)
+    hangs = Query("lookup", "SELECT /* lab hang=1 */ day FROM sales_17.orders", patience=400)
+    fails = Query("lookup", "SELECT /* lab error=-1 */ day FROM sales_17.orders")
+    assert either.ask(never, hangs, fails) == ["deferred"] * 3
+    status = answers.Status.of(answers.DEFERRED, "x", after=1500)
+    assert status.code is grpc.StatusCode.UNAVAILABLE
+    assert reason([(DETAILS, status.details)]) == "DEFERRED"
+
+
+def test_engines_that_drain_or_end_get_nothing_more_and_lose_nothing(fresh):
+    number = fresh.portal.call(fresh.fleet.add)
+    time.sleep(0.5)
+    assert fresh.ask(*[Query("lookup", SELECT) for _ in range(20)]) == ["finished"] * 20
+    fresh.portal.call(fresh.fleet.drain, number)
+    time.sleep(0.3)
+    fresh.fleet.world.ran.clear()
+    assert fresh.ask(*[Query("lookup", SELECT) for _ in range(20)]) == ["finished"] * 20
+    assert f"s-{number:08x}" not in {r.engine for r in fresh.fleet.world.ran}
+    fresh.portal.call(fresh.fleet.kill, 1)  # untold: a reset on one protocol, GOAWAY on the other
+    queries = [Query("lookup", SELECT) for _ in range(20)]
+    assert fresh.ask(*queries) == ["finished"] * 20
+    assert not rules.broken(fresh.fleet.world, queries)
+
+
+def wait_for(what, seconds=5):
+    end = time.monotonic() + seconds
+    while not what():
+        assert time.monotonic() < end
+        time.sleep(0.05)
+
+
+# ---- keys -------------------------------------------------------------------------------------------
+
+
+def make_keys(folder, days=1, name="key"):
+    """A self-signed pair of keys for the loopback address; paths of certificate and key."""
+    from cryptography import x509
+    from cryptography.hazmat.primitives import hashes, serialization
+    from cryptography.hazmat.primitives.asymmetric import ec
+    from cryptography.x509.oid import NameOID
+
+    key = ec.generate_private_key(ec.SECP256R1())
+    subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "localhost")])
+    now = datetime.datetime.now(datetime.UTC)
+    names = x509.SubjectAlternativeName([x509.DNSName("localhost")])
+    made = (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .issuer_name(subject)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(days=9))
+        .not_valid_after(now + datetime.timedelta(days=days))
+        .add_extension(names, critical=False)
+        .add_extension(x509.BasicConstraints(ca=True, path_length=None), critical=True)
+        .sign(key, hashes.SHA256())
+    )
+    pem = serialization.Encoding.PEM
+    plain = serialization.PrivateFormat.TraditionalOpenSSL, serialization.NoEncryption()
+    (folder / f"{name}.crt").write_bytes(made.public_bytes(pem))
+    (folder / f"{name}.key").write_bytes(key.private_bytes(pem, *plain))
+    return folder / f"{name}.crt", folder / f"{name}.key"
+
+
+def secure(authority, port, mine=None):
+    """Whether a client that trusts this authority gets an answer there."""
+    pair = {}
+    if mine is not None:
+        pair = {"private_key": mine[1].read_bytes(), "certificate_chain": mine[0].read_bytes()}
+    credentials = grpc.ssl_channel_credentials(authority.read_bytes(), **pair)
+    options = [("grpc.use_local_subchannel_pool", 1)]
+    with grpc.secure_channel(f"localhost:{port}", credentials, options=options) as channel:
+        ask = channel.unary_unary(f"{arrow.SERVICE}GetSchema")
+        command = arrow.command(sql.CommandGetCatalogs()).SerializeToString()
+        try:
+            return bool(ask(command, timeout=3))
+        except grpc.RpcError:
+            return False
+
+
+def test_keys_are_read_anew_and_expired_or_unknown_ones_get_no_answer(tmp_path):
+    certificate, key = make_keys(tmp_path)
+    client = make_keys(tmp_path, name="client")
+    stranger = make_keys(tmp_path, name="stranger")
+    text = f"""
+        flight: {{
+            listen: "127.0.0.1:FLIGHT_PORT"
+            tls: {{
+                certificate: "{certificate}", key: "{key}"
+                client_authority: "{client[0]}", reload_ms: 100
+            }}
+        }}"""
+    with anyio.from_thread.start_blocking_portal() as portal:
+        with portal.wrap_async_context_manager(deployed("line", 1, text)) as (_, router):
+            port = router.flight_port
+            assert secure(certificate, port, client)
+            assert not secure(certificate, port) and not secure(certificate, port, stranger)
+            old = certificate.read_bytes()
+            make_keys(tmp_path, days=-1)
+            time.sleep(0.3)
+            assert not secure(certificate, port, client)  # the new ones are expired
+            make_keys(tmp_path)
+            time.sleep(0.3)
+            assert secure(certificate, port, client)
+            (tmp_path / "old.crt").write_bytes(old)
+            assert not secure(tmp_path / "old.crt", port, client)
+
+
+def test_port_that_is_taken_ends_the_start_with_its_name():
+    with socket.create_server(("127.0.0.1", 0)) as taken, anyio.from_thread.start_blocking_portal() as portal:
+        text = f'flight: {{listen: "127.0.0.1:{taken.getsockname()[1]}"}}'
+        with pytest.raises(BaseExceptionGroup) as fault:
+            with portal.wrap_async_context_manager(deployed("line", 1, text)):
+                pass
+        assert "flight.listen" in str(fault.value.exceptions[0])
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,51 @@
+"""The lab: parity of the two fronts in small, and a checker that can fail."""
+
+import anyio
+import pytest
+
+from hillchute.lab import parity, rules
+from hillchute.lab.clients import Query
+from hillchute.lab.world import Plan, Ran, World
+
+
+def test_both_fronts_end_the_same_script_alike():
+    found = anyio.run(parity.compare, 7, "flight", 250)
+    assert found["equal"] and not found["broken_rules"]
+    assert all(found["mysql"][how] for how in parity.FATES)
+
+
+def test_statement_says_what_is_to_become_of_it():
+    plan = Plan.of(
+        b"SELECT /* lab ms=2.5 rows=7 batches=2 full=-1 other=3 */ a FROM staging.x JOIN sales_4.y"
+    )
+    assert (plan.ms, plan.rows, plan.full, plan.tables) == (2.5, 7, -1, 4)
+    assert [len(plan.batch(n)) for n in range(2)] == [3, 4]
+
+
+def ran(q, began, ended, engine="s-1", effect=False):
+    return Ran(q.id, q.group, q.token, engine, began, ended, "finished", effect)
+
+
+@pytest.mark.parametrize(
+    "spoil, rule",
+    [
+        (lambda w, a, b: a.answered.append((2.0, "killed")), "rule 1"),
+        (lambda w, a, b: a.answered.clear(), "rule 1"),
+        (lambda w, a, b: a.answered.__setitem__(0, (99.0, "finished")), "rule 1"),
+        (lambda w, a, b: w.ran.append(ran(a, 0.5, 1.5)), "rule 2"),
+        (lambda w, a, b: w.ran.append(ran(b, 9.0, 9.5, effect=True)), "rule 2"),
+        (lambda w, a, b: w.drained.__setitem__("s-1", -1.0), "rule 3"),
+        (lambda w, a, b: setattr(a, "sent", 5.0), "rule 5"),
+        (lambda w, a, b: setattr(w.ran[1], "began", 0.5), "rule 5"),
+        (lambda w, a, b: w.ran.extend(ran(a, 20.0 + n, 20.5 + n) for n in range(3)), "rule 7"),
+    ],
+)
+def test_checker_finds_each_rule_broken(spoil, rule):
+    world = World()
+    a, b = (Query("event-load", "", token=f"{n}", key="k", sent=float(n)) for n in (0, 2))
+    for q in (a, b):
+        q.answered.append((q.sent + 1, "finished"))
+        world.ran.append(ran(q, q.sent + 0.2, q.sent + 0.9, effect=True))
+    assert not rules.broken(world, [a, b])
+    spoil(world, a, b)
+    assert rule in {fault.split(":")[0] for fault in rules.broken(world, [a, b])}
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,101 @@
+"""The operator file and the command line."""
+
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hillchute.cli.commands import main
+from hillchute.operator import reading
+from hillchute.operator.records import BadRecord, parse, told
+
+GOOD = """
+// Dashboards.
+#Bi: {name: "bi", token: "t"}
+flight: {
+    listen: "127.0.0.1:32010" // loopback
+    users: [#Bi, {name: "etl", password: "p"}]
+    tickets: 5
+}
+"""
+
+
+def test_file_holds_with_definitions_comments_and_defaults():
+    settings = reading.hold(GOOD)
+    assert settings["flight"]["users"] == [{"name": "bi", "token": "t"}, {"name": "etl", "password": "p"}]
+    assert settings["flight"]["tickets"] == 5 and settings["flight"]["ticket_ms"] == 60_000
+    assert settings["engines"]["protocol"] == "line" and "tls" not in settings["flight"]
+    assert reading.defaults() == {"engines": reading.hold("")["engines"], "log": {"alike": 20}}
+
+
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ('engines: {protocol: "http"}', 'f.cue:1: engines.protocol: expected "line" | "flight", got "http"'),
+        ("engines: {\n protocl: 1}", "f.cue:2: engines.protocl: no such field; did you mean protocol?"),
+        ("flight: {}", "f.cue:1: flight.listen: missing; expected string"),
+        ('flight: {listen: "a:1", tickets: 0}', "flight.tickets: expected int & >=1 & <=1000000"),
+        ('flight: {listen: "a:1", tickets: true}', "flight.tickets: expected int"),
+        ('flight: {listen: "a:1", users: {}}', "flight.users: expected [...#User], got a record"),
+        ('flight: {listen: "a:1", users: [{name: "x y"}]}', "flight.users[0].name: expected string"),
+        ('flight: {listen: "a:1", users: [{name: "x"}]}', "flight.users[0]: expected one of password"),
+        ("log: {alike: #No}", "f.cue:1: log.alike: #No is not defined here"),
+        ("#A: #A\nlog: {alike: #A}", "log.alike: #A is not defined here"),
+        ("log: {alike: int}", "log.alike: expected a value, got int"),
+        ("log: {alike: 1, alike: 2}", "f.cue:1: alike: stands twice"),
+        ("log: {\n alike: \n}", "f.cue:3: can't be read at '}'"),
+    ],
+)
+def test_fault_names_file_line_path_and_what_was_expected(text, said):
+    with pytest.raises(BadRecord) as fault:
+        reading.hold(text, "f.cue")
+    assert said in str(fault.value)
+
+
+def test_all_faults_are_told_at_once():
+    with pytest.raises(BadRecord) as fault:
+        reading.hold('engines: {protocol: 1}\nlog: {alike: "x"}\nmore: 1')
+    assert len(str(fault.value).split("\n")) == 3
+
+
+values = st.recursive(
+    st.booleans()
+    | st.integers(-(10**9), 10**9)
+    | st.text(st.characters(codec="ascii", exclude_characters="\\")),
+    lambda inner: st.lists(inner, max_size=3),
+    max_leaves=6,
+)
+
+
+def written(value):
+    if isinstance(value, list):
+        return f"[{', '.join(map(written, value))}]"
+    return orjson.dumps(value).decode()
+
+
+@given(values)
+def test_value_is_read_as_it_was_written(value):
+    (field,) = parse(f"x: {written(value)}", "f").record.fields
+    assert parse(f"x: {told(field.constraint)}", "f").record.fields[0].constraint == field.constraint
+
+
+@given(st.text())
+def test_any_text_is_read_or_refused_with_its_line(text):
+    try:
+        reading.hold(text, "f")
+    except BadRecord as fault:
+        assert str(fault).startswith("f:")
+
+
+def test_check_prints_what_holds_and_fails_with_two(tmp_path, capsysbinary):
+    path = tmp_path / "o.cue"
+    path.write_text(GOOD)
+    assert main(["check", str(path), "--json"]) == 0
+    assert orjson.loads(capsysbinary.readouterr().out)["settings"]["flight"]["tickets"] == 5
+    assert main(["check", str(path), "--fields"]) == 0
+    assert b"flight.tickets: 5" in capsysbinary.readouterr().out
+    path.write_text("log: 1")
+    assert main(["check", str(path)]) == 2
+    assert b"log: expected a record" in capsysbinary.readouterr().err
+    assert main(["check", str(tmp_path / "no.cue")]) == 2
+    assert main(["chekc"]) == 2
