--- a/hillchute/cli/commands.py
+++ b/hillchute/cli/commands.py
@@ -1,4 +1,4 @@
-"""Verbs of `python -m hillchute`: route, check, lab up, lab parity, lab slowloop.
+"""Verbs of `python -m hillchute`: route, check, lab up, lab parity, lab measure, lab slowloop.
 
 Owns the words of the command line and its exit codes: 0 done, 1 it ran and the answer is no, 2 it can't be
 run as asked. Must never hold logic of a subsystem.
@@ -113,6 +113,21 @@
     return int(not found["equal"] or bool(found["broken_rules"]))
 
 
+@lab.command
+def measure(*, seconds: float = 4.0) -> int:
+    """Measure what wide and small results cost the router on each pair of front and engine; prints JSON.
+
+    Parameters
+    ----------
+    seconds
+        How long each pair is measured.
+    """
+    from hillchute.lab.measure import measure as taken
+
+    show(anyio.run(taken, seconds))
+    return 0
+
+
 @lab.command
 def slowloop(*, seeds: int = 20, first: int = 1, times: float = 3.0, json: Json = False) -> int:
     """Play a router whose core is full, under a played clock and sockets; exit 0 if the rules held.
--- a/hillchute/fronts/flight/server.py
+++ b/hillchute/fronts/flight/server.py
@@ -172,6 +172,21 @@
         if self.server is not None:
             await self.server.stop(grace)
 
+    def renew(self, settings: Mapping[str, object]) -> list[str]:
+        """Settings read again: users, defaults and bounds move; the keys of those that can't are given."""
+        fixed = [
+            key for key in ("listen", "tls", "message_bytes") if settings.get(key) != self.settings.get(key)
+        ]
+        try:
+            gate = Gate(settings["users"], self.gate.key)
+        except OSError as fault:
+            raise ValueError(f"flight.users: {fault}") from None
+        self.settings = {**settings, **{key: self.settings.get(key) for key in fixed}}
+        self.gate = gate
+        self.tickets.most, self.tickets.span = settings["tickets"], settings["ticket_ms"] * 10
+        self.prepared.most = settings["prepared"]
+        return fixed
+
     # ---- every call -------------------------------------------------------------------------------
 
     async def end(self, context: grpc.aio.ServicerContext, status: Status) -> None:
--- a/hillchute/operator/records.py
+++ b/hillchute/operator/records.py
@@ -17,7 +17,7 @@
 DEEPEST = 32  # records in records: a file that refers to itself ends here
 
 
-class BadRecord(Exception):
+class BadRecord(ValueError):
     """What is wrong with a file, all faults of it, one a line: file:line: path: expected ..., got ..."""
 
 
--- a/hillchute/router/__main__.py
+++ b/hillchute/router/__main__.py
@@ -6,7 +6,8 @@
 import os
 import signal
 import sys
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from functools import partial
 
 import anyio
 
@@ -16,10 +17,14 @@
 from hillchute.router.service import SIGNALS, Service
 
 
-async def serve(station: config.Station, operator: Mapping[str, object] | None) -> None:
+async def serve(
+    station: config.Station,
+    operator: Mapping[str, object] | None,
+    read_again: Callable[[], Mapping[str, object]] | None,
+) -> None:
     log = Log(station.name)
     lifecycle = Lifecycle(log)
-    await Service(station, log, lifecycle, operator=operator).run()
+    await Service(station, log, lifecycle, operator=operator, read_operator=read_again).run()
     log.flush()
 
 
@@ -27,23 +32,25 @@
     # A signal that comes during the start waits until there is somebody to heed it.
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     operator_file = operator_file or os.environ.get("HILLCHUTE_OPERATOR")
-    operator = None
+    operator = read_again = None
     try:
         station = config.read()
         if operator_file:
             from hillchute.operator import reading  # the grammar's library is an extra
 
-            operator = reading.read(operator_file)
-    except config.BadConfiguration as fault:
+            read_again = partial(reading.read, operator_file)
+            operator = read_again()
+    except (config.BadConfiguration, ValueError) as fault:
         print(f"hillchute: {fault}", file=sys.stderr)
         return 2
-    except Exception as fault:
-        if type(fault).__name__ != "BadRecord":
-            raise
+    refused: list[Exception] = []
+    try:
+        anyio.run(serve, station, operator, read_again, backend_options={"use_uvloop": True})
+    except* OSError as faults:  # an address that is taken, keys that can't be read
+        refused.extend(faults.exceptions)
+    for fault in refused:
         print(f"hillchute: {fault}", file=sys.stderr)
-        return 2
-    anyio.run(serve, station, operator, backend_options={"use_uvloop": True})
-    return 0
+    return 2 if refused else 0
 
 
 if __name__ == "__main__":
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -57,8 +57,10 @@
         poller: Poller | None = None,
         clock: Callable[[], int] = clock,
         operator: Mapping[str, object] | None = None,
+        read_operator: Callable[[], Mapping[str, object]] | None = None,
     ) -> None:
-        """`operator`: what holds of the operator file; nothing of it is on without one."""
+        """`operator`: what holds of the operator file; nothing of it is on without one. `read_operator` reads
+        it again, and raises ValueError where it can't be used."""
         self.station = station
         self.log = log
         self.lifecycle = lifecycle
@@ -81,6 +83,7 @@
             unreadable=lambda session, why: self.handle(events.Spoilt(session, why)),
         )
         operator = operator or {}
+        self.operator, self.read_operator = operator, read_operator
         self.links = self.engine_links(operator.get("engines", {}))
         self.flight = self.flight_front(operator["flight"]) if operator.get("flight") else None
         self.follower = Follower(
@@ -328,12 +331,28 @@
             self.log.write("reload", kept="the running configuration", why=str(fault))
             return
         restart = config.needs_restart(self.station, station)
+        if self.read_operator is not None:
+            try:
+                restart += self.renew(self.read_operator())
+            except ValueError as fault:
+                self.log.write("reload", kept="the running operator file", why=str(fault))
         self.log.write("reload", bus=list(station.bus), needs_restart=restart)
         self.station = self.station._replace(bus=station.bus)
         for news in station.known:
             self.handle(events.Told(news))
         self.follower.move(self.station.bus, self.tasks)
 
+    def renew(self, operator: Mapping[str, object]) -> list[str]:
+        """An operator file read again: what moves under load is moved, the paths of the rest are given."""
+        restart = [key for key in ("engines", "log") if operator[key] != self.operator[key]]
+        before, after = self.operator.get("flight"), operator.get("flight")
+        if self.flight is not None and after is not None:
+            restart += [f"flight.{key}" for key in self.flight.renew(after)]
+        elif before != after:
+            restart.append("flight")
+        self.operator = operator
+        return restart
+
     async def ring(self) -> None:
         """Sees to the alarm where no socket is ready."""
         while True:
