--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -16,15 +16,17 @@
 
 from hillchute.decision.teamwork import SECOND, Teamwork
 from hillchute.engines import words
-from hillchute.fronts.flight import answers, catalog, identity, tickets
+from hillchute.fronts.flight import answers, catalog, identity, server, tickets
 from hillchute.lab import rules
 from hillchute.lab.clients import Flight, MySQL, Query
 from hillchute.lab.fleet import deployed
+from hillchute.operator import reading
 from hillchute.protocol import Flight_pb2 as flight
 from hillchute.protocol import FlightSql_pb2 as sql
 from hillchute.protocol import sql as arrow
 from hillchute.protocol.status import DETAILS, reason
 from hillchute.router import events
+from hillchute.router.log import Log
 from hillchute.router.reducer import Reducer
 from hillchute.statements import request as statements
 
@@ -78,6 +80,22 @@
     assert identity.Gate([], b"k").owner(0, None) == identity.ANYBODY
 
 
+def test_settings_that_move_under_load_are_moved_and_the_rest_is_named(tmp_path):
+    text = 'flight: {listen: "127.0.0.1:1", tickets: 5, users: [{name: "bi", token: "old"}]}'
+    made = server.Server(reading.hold(text)["flight"], {}, Log("n", -1), lambda: 0, None)
+    given = made.gate.give(0, "bi")
+    text = text.replace("old", "new").replace(":1", ":2").replace("tickets: 5", "tickets: 1")
+    assert made.renew(reading.hold(text)["flight"]) == ["listen"]
+    assert made.settings["listen"] == "127.0.0.1:1" and made.tickets.most == 1
+    assert made.gate.owner(0, "Bearer new") == made.gate.owner(0, f"Bearer {given}") == "bi"
+    with pytest.raises(identity.Refused):
+        made.gate.owner(0, "Bearer old")
+    gone = text.replace('token: "new"', f'token_file: "{tmp_path}/none"')
+    with pytest.raises(ValueError, match="flight.users"):
+        made.renew(reading.hold(gone)["flight"])
+    assert made.gate.owner(0, "Bearer new") == "bi"
+
+
 # ---- fields and parameters --------------------------------------------------------------------------
 
 
