A cancelled or faulty call to a Flight engine ends its own task, not the router

Cause: a grpc call that is cancelled brings that up as a cancel in the task that waits for it, and a task that ends cancelled takes its task group with it. Change: every task of a link and of a stream stands alone; a test with a cancelled and a faulty one.

--- a/hillchute/engines/flight/links.py
+++ b/hillchute/engines/flight/links.py
@@ -151,7 +151,18 @@
     def open(self, number: int, host: str, port: int, tasks: anyio.abc.TaskGroup) -> None:
         self.tasks = tasks
         link = self.links[number] = Link(self, number)
-        tasks.start_soon(self.live, link, f"[{host}]:{port}" if ":" in host else f"{host}:{port}")
+        tasks.start_soon(self.alone, self.live, link, f"[{host}]:{port}" if ":" in host else f"{host}:{port}")
+
+    async def alone(self, work: Callable, *about: object) -> None:
+        """Runs a task of its own. A call that is cancelled brings that up as a cancel in whoever waits for
+        it, and a task that ends so would take the whole router with it; so would any fault."""
+        try:
+            await work(*about)
+        except anyio.get_cancelled_exc_class():
+            if self.tasks.cancel_scope.cancel_called:
+                raise
+        except Exception as fault:
+            self.log.write("fault", what=work.__name__, why=repr(fault))
 
     def channel(self, address: str) -> grpc.aio.Channel:
         options = [
@@ -230,13 +241,13 @@
         for command in commands:
             match command:
                 case words.Run():
-                    self.tasks.start_soon(self.run, link, command)
+                    self.tasks.start_soon(self.alone, self.run, link, command)
                 case words.GiveUp(id) | words.Unwanted(id):
                     self.give_up(link, id)
                 case words.Hurry(id, rank):
-                    self.tasks.start_soon(self.act, link, "hillchute.hurry", f"{id} {rank}")
+                    self.tasks.start_soon(self.alone, self.act, link, "hillchute.hurry", f"{id} {rank}")
                 case words.Probe(tag):
-                    self.tasks.start_soon(self.probe, link, tag)
+                    self.tasks.start_soon(self.alone, self.probe, link, tag)
 
     def give_up(self, link: Link, id: str) -> None:
         stream = link.streams.pop(id, None)
@@ -268,6 +279,14 @@
                 self.told(link, run, ending(fault), fault.trailing_metadata())
             except grpc.aio.UsageError:
                 self.told(link, run, "severed", None)  # the channel was closed meanwhile
+            except anyio.get_cancelled_exc_class():
+                if scope.cancel_called or self.tasks.cancel_scope.cancel_called:
+                    raise
+                # A call that was cancelled brings its cancel up in whoever waits for it; that ends it alone.
+                self.told(link, run, "severed", None)
+            except Exception as fault:
+                self.log.write("fault", what=f"run on line {link.number}", why=repr(fault))
+                self.told(link, run, "severed", None)
             except arrow.Unreadable as fault:
                 self.log.write("unreadable", line=link.number, why=str(fault))
                 self.told(link, run, "severed", None)
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -149,7 +149,7 @@
                 self.front(session).finish(session, rows)
             case events.Stream(session, stream):
                 if session < FLIGHT_FIRST:
-                    self.tasks.start_soon(self.door.pass_on, session, stream)
+                    self.tasks.start_soon(self.pass_on, session, stream)
                 else:
                     self.flight.begin(session, stream)
             case events.Cut(session, why):
@@ -171,6 +171,17 @@
                 if event == "fault":
                     self.dump(BEFORE_A_FAULT)
 
+    async def pass_on(self, session: int, stream: words.Stream) -> None:
+        """A fault in one stream ends that one alone."""
+        try:
+            await self.door.pass_on(session, stream)
+        except BaseException as fault:
+            if not isinstance(fault, Exception) and self.tasks.cancel_scope.cancel_called:
+                raise
+            self.log.write("fault", what=f"stream of {session}", why=repr(fault))
+            stream.close()
+            self.handle(events.Spoilt(session, "a fault of ours"))
+
     def gave_up(self, session: int) -> None:
         """A client gave its query up, or is gone; the query may not have been handed on yet."""
         if not self.rounds.drop(session) and session in self.reducer.asking:
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -16,6 +16,7 @@
 
 from hillchute.decision.teamwork import SECOND, Teamwork
 from hillchute.engines import words
+from hillchute.engines.flight import links
 from hillchute.fronts.flight import answers, catalog, identity, server, tickets
 from hillchute.lab import rules
 from hillchute.lab.clients import Flight, MySQL, Query
@@ -229,6 +230,26 @@
     assert not streaming.finals(events.Passed(1), due + 1)
 
 
+def test_call_that_is_cancelled_or_faulty_ends_its_own_task_alone():
+    made = links.Links({}, Log("n", -1), None, 1, 1)
+
+    async def cancelled():
+        raise anyio.get_cancelled_exc_class()
+
+    async def faulty():
+        raise KeyError("x")
+
+    async def run():
+        async with anyio.create_task_group() as made.tasks:
+            for work in (cancelled, faulty):
+                made.tasks.start_soon(made.alone, work)
+            await anyio.sleep(0.01)
+            assert not made.tasks.cancel_scope.cancel_called
+
+    anyio.run(run)
+    assert b"KeyError" in made.log.buffer
+
+
 # ---- a router in a process --------------------------------------------------------------------------
 
 USERS = """
