--- a/hillchute/router/__main__.py
+++ b/hillchute/router/__main__.py
@@ -22,7 +22,7 @@
     operator: Mapping[str, object] | None,
     read_again: Callable[[], Mapping[str, object]] | None,
 ) -> None:
-    log = Log(station.name)
+    log = Log(station.name, **((operator or {}).get("log", {})))
     lifecycle = Lifecycle(log)
     await Service(station, log, lifecycle, operator=operator, read_operator=read_again).run()
     log.flush()
--- a/hillchute/router/log.py
+++ b/hillchute/router/log.py
@@ -15,9 +15,10 @@
 
 
 class Log:
-    def __init__(self, name: str, descriptor: int = 1) -> None:
+    def __init__(self, name: str, descriptor: int = 1, alike: int = MOST_ALIKE) -> None:
         self.name = name
         self.descriptor = descriptor
+        self.alike = alike
         self.buffer = bytearray()
         self.dropped = 0
         self.second, self.written = 0, Counter()  # lines of each event in this second
@@ -29,12 +30,12 @@
     def write(self, event: str, **fields: object) -> None:
         now = time.time_ns() // 100_000
         if now - self.second >= 10_000:
-            alike = {name: n - MOST_ALIKE for name, n in self.written.items() if n > MOST_ALIKE}
+            alike = {name: n - self.alike for name, n in self.written.items() if n > self.alike}
             self.second, self.written = now, Counter()
             if alike:
                 self.write("log_alike", left_out=alike)
         self.written[event] += 1
-        if self.written[event] > MOST_ALIKE:
+        if self.written[event] > self.alike:
             return
         line = orjson.dumps(
             {"time": now / 10_000, "router": self.name, "event": event, **fields},
