--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -1,5 +1,8 @@
 """The operator file and the command line."""
 
+import subprocess
+import sys
+
 import orjson
 import pytest
 from hypothesis import given
@@ -99,3 +102,10 @@
     assert b"log: expected a record" in capsysbinary.readouterr().err
     assert main(["check", str(tmp_path / "no.cue")]) == 2
     assert main(["chekc"]) == 2
+
+
+def test_router_without_an_operator_file_imports_nothing_of_the_extras():
+    extras = {"lark", "grpc", "pyarrow", "google", "cyclopts"}
+    code = "import sys, hillchute.router.__main__; print(*{m.split('.')[0] for m in sys.modules})"
+    loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
+    assert "anyio" in loaded.split() and not extras & set(loaded.split())
