--- a/hillchute/engines/line/exchange.py
+++ b/hillchute/engines/line/exchange.py
@@ -9,8 +9,6 @@
 from hillchute.engines import words
 from hillchute.engines.line import wire
 
-ENDINGS = {"AGAIN": "saturated", "EIO": "errored", "STALE": "superseded"}
-
 
 class Exchange:
     """feed() gives what the engine says; `owed` then holds what is to be written because of it."""
@@ -47,7 +45,7 @@
     def said(self, answer: wire.Answer) -> words.Said:
         if answer.id in self.probes:
             self.probes.discard(answer.id)
-            result = "finished" if answer.word == "READY" else ENDINGS.get(answer.word, "errored")
+            result = "finished" if answer.word == "READY" else wire.ENDINGS.get(answer.word, "errored")
             return words.Probed(answer.id, result, answer.report)
         if answer.id not in self.open:
             return None
@@ -58,9 +56,9 @@
                 return self.page(answer)
             case "EVENT" if answer.topic:
                 return words.Noted(answer.id, answer.topic, answer.value)
-            case word if word in ENDINGS:
+            case word if word in wire.ENDINGS:
                 del self.open[answer.id]
-                return words.Ended(answer.id, ENDINGS[word], answer.work, answer.report)
+                return words.Ended(answer.id, wire.ENDINGS[word], answer.work, answer.report)
         return None
 
     def acknowledged(self, answer: wire.Answer) -> words.Said:
--- a/hillchute/fronts/flight/server.py
+++ b/hillchute/fronts/flight/server.py
@@ -30,7 +30,6 @@
 from hillchute.statements import request as statements
 from hillchute.statements.request import Request
 
-FIRST = 1 << 40  # calls' numbers begin here: sessions of the MySQL front have theirs below 2**32
 SECOND = 10_000  # tenths of a millisecond
 LONGEST_HEADERS = 65_536
 
@@ -75,7 +74,7 @@
         self.prepared: Table[Prepared] = Table(key[::-1], settings["prepared"], None)
         self.calls: dict[int, Call] = {}
         self.by_ticket: dict[bytes, int] = {}  # calls that run a ticket, for those who cancel
-        self.count = FIRST
+        self.count = events.FIRST_CALL
         self.tables = tables
         self.server: grpc.aio.Server | None = None
         self.port = 0
--- a/hillchute/router/events.py
+++ b/hillchute/router/events.py
@@ -10,6 +10,8 @@
 from hillchute.membership import event_bus
 from hillchute.statements.request import Request
 
+FIRST_CALL = 1 << 40  # sessions from here on are calls of the Flight front; those of MySQL are below 2**32
+
 # ---- events ---------------------------------------------------------------------------------------
 
 
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -39,7 +39,6 @@
 COLLECT = (10_000, 10, 10)  # objects made before a collection: the usual 700 are a few queries only
 LAG = 0.05  # seconds that a timer may come late before it is logged
 BEFORE_A_FAULT = 200  # events of the trace that are written with a fault
-FLIGHT_FIRST = 1 << 40  # sessions from here on are calls of the Flight front
 HANG_UP_TIME = 0.3  # seconds that calls of the Flight front have when the router hangs up
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 
@@ -115,7 +114,7 @@
 
     def front(self, session: int):
         """Who has the client of a session: calls of the Flight front have their numbers above all others."""
-        return self.door if self.flight is None or session < FLIGHT_FIRST else self.flight
+        return self.door if self.flight is None or session < events.FIRST_CALL else self.flight
 
     # ---- events in, effects out -------------------------------------------------------------------
 
@@ -148,7 +147,7 @@
             case events.Finish(session, rows):
                 self.front(session).finish(session, rows)
             case events.Stream(session, stream):
-                if session < FLIGHT_FIRST:
+                if session < events.FIRST_CALL:
                     self.tasks.start_soon(self.pass_on, session, stream)
                 else:
                     self.flight.begin(session, stream)
