--- a/hillchute/engines/words.py
+++ b/hillchute/engines/words.py
@@ -4,7 +4,6 @@
 Times are milliseconds where a field says so, else whole tenths of a millisecond.
 """
 
-from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
 Rows = list[list[bytes]]  # three text columns, in order
@@ -115,11 +114,3 @@
 
 
 Said = Over | Whole | Began | Ended | Noted | Probed | None  # None: something came that says nothing
-
-
-class Codec(Protocol):
-    """One connection's protocol: commands to bytes, bytes to what the engine says."""
-
-    def encode(self, command: Command) -> bytes: ...
-
-    def feed(self, data: bytes) -> Iterable[Said]: ...
--- a/hillchute/lab/slowloop.py
+++ b/hillchute/lab/slowloop.py
@@ -5,13 +5,11 @@
 the loop carries, and stalls stop the clock's owner at any point. Owns that world and the check of rules 1, 2
 and 5 on what crossed the sockets. Must never use a real socket, a real clock or a random number without seed.
 
-    python -m hillchute.lab.slowloop --seeds 200
+    python -m hillchute lab slowloop --seeds 200
 """
 
-import argparse
 import random
 import struct
-import sys
 from collections import Counter, deque
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
@@ -556,24 +554,3 @@
 
 def play(seed: int, **known) -> Rig:
     return anyio.run(Rig(seed, **known).play)
-
-
-def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
-    parser.add_argument("--seeds", type=int, default=20, help="how many runs, from seed 1 on")
-    parser.add_argument("--first", type=int, default=1, help="the first seed")
-    parser.add_argument("--times", type=float, default=3.0, help="how much more is offered than is carried")
-    args = parser.parse_args()
-    broken, total = 0, Counter()
-    for seed in range(args.first, args.first + args.seeds):
-        rig = play(seed, times=args.times)
-        total += rig.summary()
-        broken += bool(rig.faults)
-        if rig.faults:
-            print(f"seed {seed}: {len(rig.faults)} faults, the first: {rig.faults[0]}")
-    print(f"{args.seeds} runs, {broken} with a broken rule; {dict(total)}")
-    return int(broken > 0)
-
-
-if __name__ == "__main__":
-    sys.exit(main())
