--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -93,6 +93,7 @@
     legs: list[Submission] = field(default_factory=list)
     ran: Submission | None = None  # the first submission that may have run
     errors: int = 0
+    lot: EngineId | None = None  # the cold engine that is open to it
     blamed: "Engine | None" = None  # the first engine that answered it with an error
     streaming: bool = False
 
@@ -119,7 +120,6 @@
     sent: deque = field(default_factory=deque)  # (time, threads) not yet in a report
     fresh: int = 0  # threads in sent
     fresh_memory: float = 0.0
-    cold: deque = field(default_factory=deque)  # (time, usual work) sent while cold
     reported: float | None = None  # threads in use at the last report
     granted: float | None = None  # share of its memory granted at the last report
     reported_at: Time = 0
@@ -139,7 +139,7 @@
         self.ram = per_kind("domain.ram_of_kind_mb", 0.0)
         self.ready, self.gone = entry.state == "Ready", entry.state == "Gone"
 
-    def began(self, now: Time, q: Query, sub: Submission, usual: float) -> None:
+    def began(self, now: Time, q: Query, sub: Submission) -> None:
         q.legs.append(sub)
         self.out, self.threads, self.memory = (
             self.out + 1,
@@ -148,7 +148,6 @@
         )
         self.sent.append((now, q.group.width, q.memory))
         self.fresh, self.fresh_memory = self.fresh + q.group.width, self.fresh_memory + q.memory
-        self.cold.append((now, usual))
         if q.group.is_load:
             self.holds.append(q.tables)
 
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -48,6 +48,8 @@
 SPARE = 0.2  # share of the sessions: with fewer free, those who wait outside count more than those inside
 DEAR = 2.0  # times the mean time for its value, over one, that a query may hold one then; less as they end
 MOST_LATE = 100 * MILLISECOND  # queries read so late: the margin that answers have at the least
+COLD_SHARE = 0.7  # of what a cold engine can do, sent by all routers: the share of a warm one that is well used
+COLD_GRAINS = 16  # queries at the least that make up what tips a cold engine: few heavy ones must not by chance
 STEEP = 3  # at half that pressure eight times the mean still gets in, at twice an eighth of it
 
 WAITING = ("lane", "queue", "dash", "behind")  # places of a query that stands in a line here
@@ -59,7 +61,7 @@
 class Teamwork:
     def __init__(self, seed, catalog, now):
         self.seed, self.catalog, self.now = seed, catalog, now
-        self.drawn, self.wake_at = 0, None
+        self.drawn, self.wake_at, self.least_cores = 0, None, 0
         self.groups = [ResourceGroup.read(catalog, n) for n in range(catalog.get("groups.count", 0))]
         self.routers = max(1, catalog.get("n_instances", 1))
         self.margin = MARGIN + 2 * catalog.get("tick", 0)
@@ -74,6 +76,7 @@
         self.home = {}  # table group: the engine that last ran it
         self.looks = []  # heap of (time, order, query id): look at this query again
         self.taken, self.extras, self.planned = Traffic(), deque(), deque()
+        self.began, self.light, self.light_work = now, deque(), 0.0  # (time, work) that cold engines may get
         self.probe_credit, self.probe_at = len(self.groups), 0
         self.probes = catalog.get("report.via") == "probe" and catalog.get("limits.probes", False)
         self.price = self.dear = 0.0  # mean work for a value of one, as asked; and mean time that it took
@@ -101,6 +104,7 @@
         for e in [e for e in self.engines.values() if mode != "Partial" and e.id not in listed]:
             e.ready, e.gone = False, True
         self.engines = {n: e for n, e in self.engines.items() if e.out or not e.gone}  # new ids come all day
+        self.least_cores = min((e.cores for e in self.engines.values()), default=0)
 
     def welcome(self, now, group, late):
         """Guards the loop of this router: it reads late when its core is full, and what it then does late
@@ -133,6 +137,7 @@
     def line_up(self, q, front=False):
         q.line, q.place = (self.dash, "dash") if q.group.number in self.dashboards else (self.queue, "queue")
         q.line.appendleft(q) if front else q.line.append(q)
+        q.lot = self.draw_lot(q)
         self.look(q, self.now)
         self.look(q, self.latest_start(q))
 
@@ -283,19 +288,36 @@
             first = self.engines.get(q.ran.engine)
             if first is None or e.zone != first.zone or (g.repeats == "cell" and e.cell != first.cell):
                 return False
-        return self.warm_enough(e, self.usual_work(g))
-
-    def usual_work(self, g):
-        return g.usual * max(1.0, g.scale)  # estimates may be low: rule 4 weighs true work
-
-    def warm_enough(self, e, work):
-        """Rule 4: a cold engine gets from this router its share of what the engine can do at its coldest."""
-        span = self.catalog.get("guarantees.fall", 0)
-        trim(e.cold, self.now - span - 1)
-        if e.started <= 0 or self.now >= e.started + self.catalog.get("guarantees.cold", 0):
-            return True
-        budget = self.catalog.get("guarantees.cold_from", 0) * e.cores * span / self.routers
-        return sum(w for _, w in e.cold) + work <= budget
+        return not self.cold(e) or q.lot == e.id
+
+    def cold(self, e):
+        return 0 < e.started and self.now < e.started + self.catalog.get("guarantees.cold", 0)
+
+    def draw_lot(self, q):
+        """Rule 4: the one cold engine, if any, that is open to a query, by chance each time it lines up.
+
+        Guards a cold engine against the sum of routers that do not know of each other. Each router sends it
+        in the mean its part of what the engine can do now, whatever the router's own traffic: so it also holds
+        when all learn of the engine at once (those that wait then have drawn before), when routers restart,
+        and where the part of one router is less than a query."""
+        least, length = (self.catalog.get(f"guarantees.{x}", 0) for x in ("cold_from", "cold"))
+        cold = [e for e in self.engines.values() if e.ready and self.cold(e)]
+        work = q.cost * max(1.0, q.group.scale)  # estimates may be low: rule 4 weighs true work
+        tips = self.catalog.get("guarantees.tip_multiple", 1.0) * least * self.catalog.get("guarantees.fall", 0)
+        if work > tips * self.least_cores / COLD_GRAINS:
+            return None
+        while self.light and self.light[0][0] < self.now - TRAFFIC_SPAN:
+            self.light_work -= self.light.popleft()[1]
+        self.light.append((self.now, work))
+        self.light_work += work
+        if not cold:
+            return None
+        mine = self.light_work / max(MILLISECOND, min(TRAFFIC_SPAN, self.now - self.began))  # in cores
+        # How it warms is not told: the square stays under what grows evenly or fast at first.
+        parts = [e.cores * (least + (1 - least) * ((self.now - e.started) / length) ** 2) for e in cold]
+        marks = list(accumulate(COLD_SHARE * part / self.routers / mine for part in parts))
+        n = bisect(marks, self.chance() * max(1.0, marks[-1]))
+        return cold[n].id if n < len(cold) else None
 
     def since(self, e):
         return e.since(max(e.reported_at - LAG, self.now - PRESSED))
@@ -307,6 +329,8 @@
         threads = self.since(e)[0]
         if self.held is None:
             return e.threads
+        if self.cold(e):  # it starts empty, and gets what the lots give: the others' average says nothing of it
+            return max(e.threads, threads + (e.reported or 0) * 0.5 ** ((self.now - e.reported_at) / FADE))
         mean, known = self.held * e.cores, 0.5 ** ((self.now - e.reported_at) / FADE)
         return threads + (mean if e.reported is None else mean + (e.reported - mean) * known)
 
@@ -332,11 +356,15 @@
         return max(0, slots, least * int(not e.out))
 
     def draw(self, engines, q):
-        """Chance, weighted against load."""
+        """Chance, weighted against load; or the cold engine that the query has drawn already."""
+        if q.lot is not None and (lot := self.engines.get(q.lot)) in engines and self.cold(lot):
+            return lot
         marks = list(accumulate((FLOOR + self.load(e) / e.cores) ** -SHARPNESS for e in engines))
+        return engines[bisect(marks, self.chance() * marks[-1])]
+
+    def chance(self):
         self.drawn += 1
-        chance = crc32(f"{self.seed}:{self.drawn}".encode()) / 2**32
-        return engines[bisect(marks, chance * marks[-1])]
+        return crc32(f"{self.seed}:{self.drawn}".encode()) / 2**32
 
     def alone(self, q):
         return q.cost * q.group.scale / q.group.width
@@ -460,7 +488,7 @@
             self.orders[q.tables] = sorted(self.engines, key=lambda n: crc32(f"{q.tables}:{n}".encode()))
         order = self.orders[q.tables]
         half, loads = order[: (len(order) + 1) // 2], q.group.is_load
-        engines = [e for e in engines if (e.id in half) == loads] or engines
+        engines = [e for e in engines if (e.id in half) == loads or (e.id == q.lot and not loads)] or engines
         # Few routers: each has engines of its own for a group's loads; none stands behind another's.
         own = half[self.catalog.get("me", 0) :: self.routers] if loads and self.routers <= len(half) else ()
         return [e for e in engines if e.id in own] or engines
@@ -493,7 +521,7 @@
         if not engines:
             return  # the leader waits for the next outcome
         home = self.engines.get(self.home.get(leader.tables))
-        e = home if home in engines else self.draw(engines, leader)
+        e = home if home in engines and leader.lot is None else self.draw(engines, leader)
         team = [leader]
         if not leader.group.is_load:
             mates = (q for q in self.queue if q.tables == leader.tables and not q.group.is_load)
@@ -519,7 +547,7 @@
         if crc32(q.id.encode()) % (1 + len(self.taken.line) // SAMPLE) == 0:
             self.recent.add(self.now, sub)
         q.place = "out"
-        e.began(self.now, q, sub, self.usual_work(q.group))
+        e.began(self.now, q, sub)
         self.home[q.tables] = e.id
 
     def set_terms(self, q):
