--- a/hillchute/benchlink/codec.py
+++ b/hillchute/benchlink/codec.py
@@ -107,7 +107,7 @@
             query, engine, within = values
             return f"PASS_ON {query} {engine} {within * NS}"
         case "defer":
-            query, after = values
+            query, after, _ = values
             return f"PUSH_BACK {query} {after * NS}"
         case "kill":
             return f"FINISH_ERROR {values[0]}"
--- a/hillchute/decision/interface.py
+++ b/hillchute/decision/interface.py
@@ -14,7 +14,7 @@
 
 # A decision is a verb and its values:
 #   ("submit", query, engine, within)      ("terms", query, megabytes, priority)
-#   ("defer", query, come_back_after)      ("kill", query)
+#   ("defer", query, come_back_after, why) ("kill", query, why)      why: which check, for the log
 #   ("cancel", query, leg)                 ("probe", engine)
 #   ("watch",)  follow the roster          ("wake", at, name)
 Decision: TypeAlias = tuple
--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -94,6 +94,9 @@
     ran: Submission | None = None  # the first submission that may have run
     errors: int = 0
     lot: EngineId | None = None  # the cold engine that is open to it
+    drawn: EngineId | None = None  # the engine that is looked at before it is sent there
+    drawn_at: Time = 0
+    looks: int = 0
     blamed: "Engine | None" = None  # the first engine that answered it with an error
     streaming: bool = False
 
@@ -122,7 +125,7 @@
     fresh_memory: float = 0.0
     reported: float | None = None  # threads in use at the last report
     granted: float | None = None  # share of its memory granted at the last report
-    reported_at: Time = 0
+    reported_at: Time = -(10**9)
     probed_at: Time = -(10**9)
     pressed_until: Time = 0
     fails: int = 0  # moments of failure in a row
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -8,6 +8,7 @@
 from collections import defaultdict, deque
 from heapq import heappop, heappush
 from itertools import accumulate
+from math import prod
 from zlib import crc32
 
 from hillchute.decision.state import Engine, Lane, Query, ResourceGroup, Sample, Submission, Traffic, trim
@@ -34,7 +35,9 @@
 FADE = 1 * SECOND  # a report's half life: most queries that it counted have ended two or three of them later
 FEW = 4.0  # threads: a few short queries; with less out, a router's part of an engine is mostly chance
 PROBE_EVERY = 400 * MILLISECOND  # per engine; reports are rarely fresher than that
-QUERIES_A_PROBE = 1  # queries taken for each probe: a quiet router then knows a few engines afresh
+LOOK = 100 * MILLISECOND  # a query waits so long for word of the engine drawn: a handshake, a slow loop
+KNEE = 1.5  # threads a core at which an engine does the most; looked at, it is taken so far: others come too
+LOOKS = 3  # crowded engines that a query looks at before it goes to the best of them, or to none
 OVER = 1.25  # times a customer's fraction of the traffic: beyond chance; it feels the pressure so much more
 CROWD = 1.5  # times the bound: with so many threads a core a dashboard would only come too late
 PACE_EVERY = 5 * MILLISECOND  # so long a pace stands: it is asked for several times for each query
@@ -42,20 +45,20 @@
 SAMPLE = 500  # queries of TRAFFIC_SPAN up to which each submission counts in the pace; beyond, one in some
 CALM = 4  # submissions at their time alone, counted with a quiet router's few before it gives up on a query
 GRAIN = 20 * MILLISECOND  # shorter times are mostly the network's and the clock's
-FULL = 10.0  # times alone that a refusal as full counts as: more than any target leaves room for
+FULL = 10.0  # threads a core that a refusal as full counts as: more than any target leaves room for
 EASE = 2.4  # times alone, or threads a core, at which all heavier than the mean are kept out: past every knee
 BACKLOG = 3.0  # pressure when the queue's head has waited all its slack: few start then in time
 SPARE = 0.2  # share of the sessions: with fewer free, those who wait outside count more than those inside
 DEAR = 2.0  # times the mean time for its value, over one, that a query may hold one then; less as they end
 MOST_LATE = 100 * MILLISECOND  # queries read so late: the margin that answers have at the least
-COLD_SHARE = 0.7  # of what a cold engine can do, sent by all routers: the share of a warm one that is well used
-COLD_GRAINS = 16  # queries at the least that make up what tips a cold engine: few heavy ones must not by chance
+COLD_SHARE = 0.7  # of what a cold engine can do, sent by all routers: what a warm one bears well
+COLD_GRAINS = 16  # queries at the least that tip a cold engine: few heavy ones must not by chance
 STEEP = 3  # at half that pressure eight times the mean still gets in, at twice an eighth of it
 
 WAITING = ("lane", "queue", "dash", "behind")  # places of a query that stands in a line here
-NEVER_RAN = ("saturated", "refused_conn", "superseded")  # endings that prove it
+NEVER_RAN = ("saturated", "refused_conn", "unreached", "superseded")  # endings that prove it
 MAY_STILL_RUN = ("overdue", "severed", "recalled")  # endings after which a key rests
-BROKEN = ("refused_conn", "severed", "errored")  # endings that speak against the engine
+BROKEN = ("refused_conn", "unreached", "severed", "errored")  # endings that speak against the engine
 
 
 class Teamwork:
@@ -72,7 +75,7 @@
         self.lanes, self.stirred = defaultdict(Lane), {}  # and the keys whose lanes may have moved
         self.queue, self.dash = deque(), deque()  # waiting: teams to be, and dashboards with no engine
         self.behind = defaultdict(deque)  # table group: loads that wait for a load of it to end
-        self.orders = {}  # table group: the engines, as its two halves part them
+        self.places = {}  # engine: its place in an order by chance that all routers have alike
         self.home = {}  # table group: the engine that last ran it
         self.looks = []  # heap of (time, order, query id): look at this query again
         self.taken, self.extras, self.planned = Traffic(), deque(), deque()
@@ -94,16 +97,18 @@
         self.watch |= mode == "Error" and self.catalog.get("discovery") == "on_request"
         if mode == "Error":
             return  # the earlier list stands
-        self.orders.clear()
         listed = {}
         for entry in listings:
             listed[entry.engine] = e = self.engines.setdefault(entry.engine, Engine(entry.engine))
             e.listed(entry, self.catalog)
             if entry.started > e.started:
-                e.started, e.fails, e.rest_until = entry.started, 0, now
+                e.started, e.fails, e.rest_until, e.reported = entry.started, 0, now, None
         for e in [e for e in self.engines.values() if mode != "Partial" and e.id not in listed]:
             e.ready, e.gone = False, True
         self.engines = {n: e for n, e in self.engines.items() if e.out or not e.gone}  # new ids come all day
+        if self.places.keys() != self.engines.keys():
+            order = sorted(self.engines, key=lambda n: crc32(str(n).encode()))
+            self.places = {n: place for place, n in enumerate(order)}
         self.least_cores = min((e.cores for e in self.engines.values()), default=0)
 
     def welcome(self, now, group, late):
@@ -124,7 +129,7 @@
         g.usual += SMOOTH * (cost - g.usual) if g.usual else cost
         q = self.queries[query] = Query(query, g, now, due, tables, tenant, cost, memory, key)
         self.price = (1 - SMOOTH) * (self.price or cost / g.value) + SMOOTH * cost / g.value
-        self.probe_credit = min(self.probe_credit + 1 / QUERIES_A_PROBE, len(self.engines))
+        self.probe_credit = min(self.probe_credit + 1, len(self.engines))
         self.look(q, due - self.margin)
         if g.in_order and key is not None:
             q.place, q.line = "lane", self.lanes[key].turn
@@ -172,7 +177,7 @@
         if result in ("finished", "overdue"):
             sub.ratio = max(GRAIN, elapsed) / max(GRAIN, cost / q.group.width if cost else sub.alone)
         elif result == "saturated":
-            sub.ratio = FULL
+            e.reported, e.reported_at = FULL * e.cores, self.now
         if sub.ratio > SLOW:
             e.pressed_until = self.now + PRESSED
         if result == "finished":
@@ -216,8 +221,11 @@
 
     def probed(self, now, engine, result, report):
         self.now = now
-        if report and engine in self.engines:
-            self.read_report(self.engines[engine], report)
+        e = self.engines.get(engine)
+        if e and report:
+            self.read_report(e, report)
+        elif e and result in ("overdue", *BROKEN):
+            self.blame(e)
 
     def progress(self, now, query, leg, topic, figure):
         self.now = now  # notes tell of one submission, what is out tells of the engine sooner
@@ -280,9 +288,12 @@
 
     def allowed(self, e, q):
         """Rules 2, 3, 4, 6 and 7: may this query go to this engine now, whatever the load?"""
+        return (not q.legs or self.may_run_again(q)) and self.fits(e, q)
+
+    def fits(self, e, q):
         g = q.group
-        fits = (g.zones is None or e.zone in g.zones) and (g.kinds is None or e.kind in g.kinds)
-        if not e.ready or not fits or (q.legs and not self.may_run_again(q)):
+        placed = (g.zones is None or e.zone in g.zones) and (g.kinds is None or e.kind in g.kinds)
+        if not e.ready or not placed:
             return False
         if q.ran and g.effect == "tokened" and g.repeats != "all":
             first = self.engines.get(q.ran.engine)
@@ -291,19 +302,26 @@
         return not self.cold(e) or q.lot == e.id
 
     def cold(self, e):
-        return 0 < e.started and self.now < e.started + self.catalog.get("guarantees.cold", 0)
+        return e.started > 0 and self.now < e.started + self.catalog.get("guarantees.cold", 0)
+
+    def able(self, e):
+        """Cores that an engine is worth: how it warms is not told; evenly, at the slowest that is stated."""
+        least, length = (self.catalog.get(f"guarantees.{x}", 0) for x in ("cold_from", "cold"))
+        return e.cores * (least + (1 - least) * (self.now - e.started) / length if self.cold(e) else 1)
+
+    def calm(self, e):
+        return self.crowd(e) <= KNEE * self.able(e)
 
     def draw_lot(self, q):
         """Rule 4: the one cold engine, if any, that is open to a query, by chance each time it lines up.
 
-        Guards a cold engine against the sum of routers that do not know of each other. Each router sends it
-        in the mean its part of what the engine can do now, whatever the router's own traffic: so it also holds
-        when all learn of the engine at once (those that wait then have drawn before), when routers restart,
-        and where the part of one router is less than a query."""
-        least, length = (self.catalog.get(f"guarantees.{x}", 0) for x in ("cold_from", "cold"))
+        Guards a cold engine against the sum of routers that do not know of each other. Each sends in the mean
+        its part of what the engine can do now, whatever its own traffic: so it also holds when all learn of
+        the engine at once (those that wait then have drawn before), when routers restart, and where the part
+        of one router is less than a query."""
         cold = [e for e in self.engines.values() if e.ready and self.cold(e)]
         work = q.cost * max(1.0, q.group.scale)  # estimates may be low: rule 4 weighs true work
-        tips = self.catalog.get("guarantees.tip_multiple", 1.0) * least * self.catalog.get("guarantees.fall", 0)
+        tips = prod(self.catalog.get(f"guarantees.{x}", 0) for x in ("tip_multiple", "cold_from", "fall"))
         if work > tips * self.least_cores / COLD_GRAINS:
             return None
         while self.light and self.light[0][0] < self.now - TRAFFIC_SPAN:
@@ -313,9 +331,7 @@
         if not cold:
             return None
         mine = self.light_work / max(MILLISECOND, min(TRAFFIC_SPAN, self.now - self.began))  # in cores
-        # How it warms is not told: the square stays under what grows evenly or fast at first.
-        parts = [e.cores * (least + (1 - least) * ((self.now - e.started) / length) ** 2) for e in cold]
-        marks = list(accumulate(COLD_SHARE * part / self.routers / mine for part in parts))
+        marks = list(accumulate(COLD_SHARE * self.able(e) / self.routers / mine for e in cold))
         n = bisect(marks, self.chance() * max(1.0, marks[-1]))
         return cold[n].id if n < len(cold) else None
 
@@ -329,10 +345,14 @@
         threads = self.since(e)[0]
         if self.held is None:
             return e.threads
-        if self.cold(e):  # it starts empty, and gets what the lots give: the others' average says nothing of it
-            return max(e.threads, threads + (e.reported or 0) * 0.5 ** ((self.now - e.reported_at) / FADE))
-        mean, known = self.held * e.cores, 0.5 ** ((self.now - e.reported_at) / FADE)
-        return threads + (mean if e.reported is None else mean + (e.reported - mean) * known)
+        if self.cold(e):  # it starts empty and gets what the lots give: others' average says nothing of it
+            return max(e.threads, threads + (e.reported * self.known(e) if e.reported else 0))
+        mean = self.held * e.cores
+        return threads + (mean if e.reported is None else mean + (e.reported - mean) * self.known(e))
+
+    def known(self, e):
+        """How much of the last report still holds: what waits on a crowded engine stays so much longer."""
+        return 0.5 ** ((self.now - e.reported_at) / (FADE * max(1.0, e.reported / e.cores)))
 
     def crowd(self, e):
         """Threads of all routers there: as reported or, if it stalls between two reports, by what is out."""
@@ -340,9 +360,9 @@
         others = (min(self.routers, part) - 1) * (self.mine / (self.mine + FEW) if self.mine else 1)
         return max(self.load(e), e.threads * (1 + max(0.0, others)))
 
-    def room(self, e, q, factor=FACTOR):
+    def room(self, e, q, more=1):
         """How many queries like this one the engine has slots and room for."""
-        width, bound, least = q.group.width, factor * e.cores, 1
+        width, bound, least = q.group.width, more * FACTOR * self.able(e), 1
         free = bound - self.crowd(e)
         if self.now < e.pressed_until:
             share = bound / self.routers
@@ -362,6 +382,42 @@
         marks = list(accumulate((FLOOR + self.load(e) / e.cores) ** -SHARPNESS for e in engines))
         return engines[bisect(marks, self.chance() * marks[-1])]
 
+    def looking(self, q):
+        """Whether the engine that it has drawn may still answer the look."""
+        e = self.engines.get(q.drawn)
+        return e and max(e.reported_at, e.failed_at) < q.drawn_at and self.now < q.drawn_at + LOOK
+
+    def choose(self, q, engines, home=None):
+        """The engine for a query, once enough is known of it; None while one is looked at, or all are full.
+
+        Guards against drawing blind: with hundreds of routers none hears of all engines in time, and one that
+        fills a little more than others then fills on. Covers engines that are down, cut off or slow too."""
+        e, q.drawn = self.engines.get(q.drawn), None
+        if e and e.reported_at >= q.drawn_at:
+            if e in engines and self.calm(e):
+                return e
+            q.looks += 1
+        elif e:  # no answer
+            engines = [other for other in engines if other is not e] or engines
+        fresh = {e.id for e in engines if not self.probes or self.now - e.reported_at <= FADE}
+        if q.looks >= LOOKS and self.now - q.drawn_at < PROBE_EVERY:
+            engines = [e for e in engines if e.id in fresh]
+        elif self.probes:
+            engines = [e for e in engines if e.id not in fresh or self.calm(e)] or engines
+        if not engines:
+            return None
+        e = home if home in engines and q.lot is None else self.draw(engines, q)
+        if e.id in fresh:
+            return e
+        q.drawn, q.drawn_at = e.id, self.now
+        if self.now - e.probed_at >= LOOK:
+            self.ask(e)
+        return None
+
+    def ask(self, e):
+        e.probed_at, self.probe_credit = self.now, self.probe_credit - 1
+        self.planned.append(("probe", e.id))
+
     def chance(self):
         self.drawn += 1
         return crc32(f"{self.seed}:{self.drawn}".encode()) / 2**32
@@ -431,18 +487,21 @@
             if q is None or q.place == "ended" or q.streaming:
                 continue
             if self.now >= q.due - self.margin:
-                self.give_up(q)
+                self.give_up(q, "its end")
             elif q.place == "again":
                 again = self.may_run_again(q) and self.now + self.expected(q) < q.due
-                self.line_up(q, front=True) if again else self.give_up(q)
-            elif q.place in WAITING and (self.now >= self.latest_start(q) or self.too_heavy(q)):
-                self.give_up(q)
-
-    def give_up(self, q):
+                self.line_up(q, front=True) if again else self.give_up(q, "tried")
+            elif q.place in WAITING and self.now >= self.latest_start(q):
+                self.give_up(q, "too late")
+            elif q.place in WAITING and self.too_heavy(q):
+                self.give_up(q, "too heavy")
+
+    def give_up(self, q, why):
+        """Answers it without a result; `why` is for the log alone."""
         if q.out and self.catalog.get("limits.cancel", False):
             self.planned.append(("cancel", q.id, len(q.legs) - 1))
         after = self.catalog.get("limits.retry_after") and self.catalog.get("limits.max_retry_after") or 0
-        self.planned.append(("defer", q.id, after) if self.may_defer(q) else ("kill", q.id))
+        self.planned.append(("defer", q.id, after, why) if self.may_defer(q) else ("kill", q.id, why))
         self.end(q)
 
     def lanes_move(self):
@@ -458,20 +517,27 @@
     def send_dashboards(self):
         """Dashboards skip the queue and the bound."""
         for q in self.dash:
-            engines = self.engines_for(q)
+            engines = [] if self.looking(q) else self.engines_for(q)
             if not engines:
                 continue
             # Guards against a jam: engines full of dashboards, clients' retries keeping them full. Covers
             # bursts, slowdowns and lost engines alike; does harm where reports lag a load that has gone.
-            engines = [e for e in engines if self.crowd(e) < CROWD * FACTOR * e.cores]
+            engines = [e for e in engines if self.crowd(e) < CROWD * FACTOR * self.able(e)]
             if not engines:
-                return self.give_up(q)
-            self.dash.remove(q)
-            return self.submit(q, self.draw(engines, q))
+                return self.give_up(q, "crowd")
+            if e := self.choose(q, engines):
+                self.dash.remove(q)
+                self.submit(q, e)
+            elif q.drawn is None:
+                self.give_up(q, "crowd seen")
+            if self.planned:
+                return
 
     def engines_for(self, q):
         """Engines that may take it and are fit; a query that waits for loads keeps off their tables."""
-        engines = [e for e in self.engines.values() if self.allowed(e, q) and self.now >= e.rest_until]
+        if q.legs and not self.may_run_again(q):
+            return []
+        engines = [e for e in self.engines.values() if self.now >= e.rest_until and self.fits(e, q)]
         if q.group.waits or q.group.is_load:
             engines = self.side(engines, q)
             engines = [e for e in engines if q.tables not in e.holds] or engines * (not q.group.is_load)
@@ -479,19 +545,29 @@
             engines = [e for e in engines if e.id != q.legs[-1].engine] or engines
         return engines
 
+    def suits(self, e, q):
+        """Whether a query may join a team on this engine: it is one that it might have drawn itself."""
+        parted = q.group.waits and (q.tables in e.holds or (self.in_half(e, q) and e.id != q.lot))
+        return self.allowed(e, q) and not parted and not (q.legs and q.legs[-1].engine == e.id)
+
     def side(self, engines, q):
         """Loads of a table group keep to one half of the engines, queries that wait for loads to the other.
 
         Guards against standing still behind loads that other routers sent: the halves follow from the table
         group and the engines' ids, so all routers split alike. Does harm where one half is short of some."""
-        if q.tables not in self.orders:
-            self.orders[q.tables] = sorted(self.engines, key=lambda n: crc32(f"{q.tables}:{n}".encode()))
-        order = self.orders[q.tables]
-        half, loads = order[: (len(order) + 1) // 2], q.group.is_load
-        engines = [e for e in engines if (e.id in half) == loads or (e.id == q.lot and not loads)] or engines
+        loads, drawn = q.group.is_load, None if q.group.is_load else q.lot
+        engines = [e for e in engines if e.id == drawn or self.in_half(e, q) == loads] or engines
         # Few routers: each has engines of its own for a group's loads; none stands behind another's.
-        own = half[self.catalog.get("me", 0) :: self.routers] if loads and self.routers <= len(half) else ()
-        return [e for e in engines if e.id in own] or engines
+        own, me = loads and self.routers <= (len(self.places) + 1) // 2, self.catalog.get("me", 0)
+        mine = [e for e in engines if own and self.in_half(e, q) and self.place(e, q) % self.routers == me]
+        return mine or engines
+
+    def place(self, e, q):
+        """One order for all table groups, each beginning elsewhere in it: a change of the list moves few."""
+        return (self.places[e.id] + crc32(str(q.tables).encode())) % len(self.places)
+
+    def in_half(self, e, q):
+        return self.place(e, q) < (len(self.places) + 1) // 2
 
     def stands(self, q):
         """The engines for this load, if it would stand still behind one of ours on all of them.
@@ -500,7 +576,7 @@
         loads of a table group come faster than its engines run them; their order there is the one here."""
         if not q.group.is_load:
             return []
-        engines = self.side([e for e in self.engines.values() if self.allowed(e, q)], q)
+        engines = self.side([e for e in self.engines.values() if self.fits(e, q)], q)
         return engines if all(q.tables in e.holds for e in engines) else []
 
     def send_team(self):
@@ -508,25 +584,26 @@
             q, line = self.queue[0], self.behind[self.queue[0].tables]
             # Guards against waiting for what can't come: a client that waits holds a session all the while.
             if self.now + sum(map(self.expected, line)) / len(engines) > self.latest_start(q):
-                return self.give_up(q)
+                return self.give_up(q, "line of loads")
             line.append(self.queue.popleft())
             q.line, q.place = line, "behind"
-        if not self.queue:
+        if not self.queue or self.looking(self.queue[0]):
             return
         leader = self.queue[0]
         # Guards against starving: dashboards may fill an engine past its bound, so one that has waited half
         # of its slack may go as far. Acts in overload only; does harm where the engine is about to page.
-        factor = FACTOR * (CROWD if self.waited(leader) > 0.5 else 1)
-        engines = [e for e in self.engines_for(leader) if self.room(e, leader, factor)]
+        more = CROWD if self.waited(leader) > 0.5 else 1
+        engines = [e for e in self.engines_for(leader) if self.room(e, leader, more)]
         if not engines:
             return  # the leader waits for the next outcome
-        home = self.engines.get(self.home.get(leader.tables))
-        e = home if home in engines and leader.lot is None else self.draw(engines, leader)
+        e = self.choose(leader, engines, self.engines.get(self.home.get(leader.tables)))
+        if e is None:
+            return
         team = [leader]
         if not leader.group.is_load:
             mates = (q for q in self.queue if q.tables == leader.tables and not q.group.is_load)
-            slots = self.room(e, leader, factor)
-            team += [q for q in mates if q is not leader and e in self.engines_for(q)][: slots - 1]
+            slots = self.room(e, leader, more)
+            team += [q for q in mates if q is not leader and self.suits(e, q)][: slots - 1]
         for q in team:
             if q is leader or self.allowed(e, q):
                 self.queue.remove(q)
@@ -560,15 +637,14 @@
 
     def probe(self):
         """Where reports come by probes alone: the engine probed longest ago, paced by the queries taken."""
-        if not self.probes or self.now < self.probe_at:
+        if not self.probes or self.now < self.probe_at or self.probe_credit < 1:
             return
         ready = [e for e in self.engines.values() if e.ready and self.now >= e.rest_until]
         e = min(ready, key=lambda e: e.probed_at, default=None)
-        if e and self.probe_credit >= 1 and self.now - e.probed_at >= PROBE_EVERY:
-            e.probed_at, self.probe_credit = self.now, self.probe_credit - 1
-            self.planned.append(("probe", e.id))
+        if e and self.now - e.probed_at >= PROBE_EVERY:
+            self.ask(e)
         else:
-            self.probe_at = self.now + MILLISECOND
+            self.probe_at = max(self.now + MILLISECOND, e.probed_at + PROBE_EVERY if e else 0)
 
     def set_alarm(self):
         """One alarm: the next query to look at, or a sweep while something is held."""
--- a/hillchute/engines/line/links.py
+++ b/hillchute/engines/line/links.py
@@ -48,7 +48,7 @@
         await anyio.wait_writable(sock)
         fault = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if fault:
-            raise OSError(fault, os.strerror(fault))
+            raise OSError(fault, os.strerror(fault))  # of the class that the number stands for
     except BaseException:
         sock.close()
         raise
@@ -84,7 +84,7 @@
                 self.links.pop(link.number, None)
                 why = str(fault) or "time-out"
                 self.log.write("not_connected", line=link.number, to=f"{host}:{port}", why=why)
-                self.handle(events.NotConnected(link.number))
+                self.handle(events.NotConnected(link.number, isinstance(fault, ConnectionRefusedError)))
                 return
             self.handle(events.Connected(link.number))
 
--- a/hillchute/router/events.py
+++ b/hillchute/router/events.py
@@ -48,6 +48,7 @@
 
 class NotConnected(NamedTuple):
     line: int
+    refused: bool  # the other side said so; else nothing came back in time
 
 
 class Said(NamedTuple):
--- a/hillchute/router/lines.py
+++ b/hillchute/router/lines.py
@@ -40,6 +40,7 @@
     session: int
     taken: Time
     due: Time
+    number: int = 0  # tells it from another of the same id
     rank: int | None = None
     legs: list[Leg] = field(default_factory=list)
     answered: bool = False
@@ -140,14 +141,22 @@
         self.lost(line.number, why)
 
     def open_line(self, peer: Peer) -> Line | None:
-        if len(self.lines) >= self.most:
-            self.desk.note("fault", what="too many connections to engines", open=len(self.lines))
+        if len(self.lines) >= self.most and not self.make_room():
+            self.desk.note("no_connection", engine=event_bus.engine_name(peer.engine), open=len(self.lines))
             return None
         line = Line(self.desk.number(), peer.engine, used=self.desk.now)
         self.lines[line.number] = peer.lines[line.number] = line
         self.desk.ask(Connect(line.number, peer.host, peer.port))
         return line
 
+    def make_room(self) -> bool:
+        """Guards a fleet with more engines than connections: the one that was idle longest gives way."""
+        idle = (line for line in self.lines.values() if not (line.legs or line.waiting or line.probes))
+        line = min(idle, key=lambda line: line.used, default=None)
+        if line is not None:
+            self.drop(line)
+        return line is not None
+
     def connected(self, number: int) -> None:
         line = self.lines.get(number)
         if line is None:
@@ -175,17 +184,18 @@
         self.forget(line)
         self.desk.ask(HangUp(line.number))
 
-    def not_connected(self, number: int) -> None:
+    def not_connected(self, number: int, refused: bool) -> None:
+        """Refused, the process is not there; else nothing came back, which says nothing of the process."""
         line = self.lines.get(number)
         if line is None:
             return
         self.forget(line)
+        result = "refused_conn" if refused else "unreached"
         for tag in line.probes:
-            self.module.probed(self.desk.now, line.engine, "refused_conn", None)
-            name = event_bus.engine_name(line.engine)
-            self.desk.note("probe", engine=name, tag=tag, result="refused_conn")
+            self.module.probed(self.desk.now, line.engine, result, None)
+            self.desk.note("probe", engine=event_bus.engine_name(line.engine), tag=tag, result=result)
         while line.waiting:
-            self.over(line.waiting.popleft(), "refused_conn")
+            self.over(line.waiting.popleft(), result)
 
     def lost(self, number: int, why: str) -> None:
         line = self.lines.get(number)
@@ -209,7 +219,7 @@
     def probe(self, engine: int) -> None:
         now, line = self.desk.now, self.line_for(self.peers[engine], None)
         if line is None:
-            self.module.probed(now, engine, "refused_conn", None)
+            self.module.probed(now, engine, "superseded", None)
             return
         tag = f"p{self.desk.number()}"
         line.probes[tag] = now
@@ -272,6 +282,11 @@
             else:
                 peer.lines.pop(line.number)  # its submissions may still answer; it takes nothing new
 
+    def news_of(self, engine: int, since: Time) -> bool:
+        """Whether something is out there, was heard of it since then, or it rests."""
+        known = self.module.engines[engine]
+        return bool(known.out) or known.reported_at >= since or known.rest_until > self.desk.now
+
     def picture(self, peer: Peer) -> dict[str, object]:
         """What is believed of an engine, beside what is open on the connections to it."""
         known, now = self.module.engines[peer.engine], self.desk.now
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -108,10 +108,10 @@
                 self.submit(self.queries[id], engine, within)
             case ("terms", id, _, rank):
                 self.set_rank(self.queries[id], rank)
-            case ("defer", id, after):
-                self.answer(self.queries[id], Defer(self.queries[id].session, after), "deferred")
-            case ("kill", id):
-                self.answer(self.queries[id], Kill(self.queries[id].session, "killed"), "killed")
+            case ("defer", id, after, why):
+                self.answer(self.queries[id], Defer(self.queries[id].session, after), "deferred", why)
+            case ("kill", id, why):
+                self.answer(self.queries[id], Kill(self.queries[id].session, "killed"), "killed", why)
             case ("cancel", id, number):
                 if id in self.queries:
                     self.leg_over(self.queries[id].legs[number], "recalled", give_up=True)
@@ -149,10 +149,10 @@
         due = since + request.patience - self.lateness.margin(request.patience)
         if self.end is not None:
             due = min(due, self.end)
-        q = Query(request, session, since, due)
+        q = Query(request, session, since, due, self.desk.number())
         self.queries[request.id] = self.asking[session] = q
         key = request.key if group in self.ordered else None
-        self.desk.at(max(due, since + request.patience - AFTER_ALL), self.overdue, request.id)
+        self.desk.at(max(due, since + request.patience - AFTER_ALL), self.overdue, request.id, q.number)
         self.module.take(now, request.id, group, due, request.tables, 0, request.cost, request.memory, key)
 
     def misfit(self, session: int, request: Request) -> str | None:
@@ -177,9 +177,15 @@
             return "field mb is out of range"
         return None
 
-    def overdue(self, id: str) -> None:
-        """Guards rule 1 against a fault in the decisions: the client gets an answer whatever happens."""
+    def named(self, id: str, number: int) -> Query | None:
+        """The query that a timer was set for. Guards against a client that names its next query like its
+        last: the timers of the one that is over must not answer the other."""
         q = self.queries.get(id)
+        return q if q is not None and q.number == number else None
+
+    def overdue(self, id: str, number: int) -> None:
+        """Guards rule 1 against a fault in the decisions: the client gets an answer whatever happens."""
+        q = self.named(id, number)
         if q is not None and not q.answered:
             self.desk.note("fault", what="unanswered at its end", query=q.request.id)
             self.module.left(self.desk.now, q.request.id)
@@ -191,8 +197,9 @@
             self.module.left(self.desk.now, q.request.id)
             self.answer(q, None, "left")
 
-    def answer(self, q: Query, effect: Effect | None, how: str) -> None:
-        """The one final answer of a query; None where nobody waits for it any more, or has had it all."""
+    def answer(self, q: Query, effect: Effect | None, how: str, why: str = "") -> None:
+        """The one final answer of a query; None where nobody waits for it any more, or has had it all. `why`:
+        which check of the module turned it away."""
         if q.answered:
             return
         q.answered = True
@@ -208,7 +215,7 @@
                 self.desk.ask(Send(leg.line.number, words.Unwanted(q.request.id)))
                 self.leg_over(leg, "finished")
         now = self.desk.now
-        self.tally(q.request.group, how, now - q.taken)
+        self.tally(q.request.group, f"{how}: {why}" if why else how, now - q.taken)
         if how not in ("finished", "deferred"):
             tries = [(event_bus.engine_name(leg.engine), (leg.sent - q.taken) / 10) for leg in q.legs]
             after, patience = (now - q.taken) / 10, q.request.patience / 10
@@ -226,12 +233,15 @@
     def count_up(self) -> None:
         """One line a second for all answers, not one each: the log is read by people."""
         answers = {f"{group} {how}": [n, round(ms / n, 1)] for (group, how), (n, ms) in self.counts.items()}
+        now = self.desk.now
         late, behind = self.lateness.worst / 10, self.lateness.standing / 10
         self.desk.note("answers", count_and_mean_ms=answers, open=len(self.asking), late=late, behind=behind)
-        pictures = {event_bus.engine_name(e): self.lines.picture(p) for e, p in self.lines.peers.items()}
-        self.desk.note("engines", **pictures)
+        # Hundreds of engines in each line would cost more than queries do: only those that there is news of.
+        told = [p for e, p in self.lines.peers.items() if self.lines.news_of(e, now - COUNT_EVERY)]
+        pictures = {event_bus.engine_name(p.engine): self.lines.picture(p) for p in told}
+        self.desk.note("engines", listed=len(self.lines.peers), **pictures)
         self.counts.clear()
-        self.counted_at = self.desk.now
+        self.counted_at = now
 
     def forget(self, q: Query) -> None:
         if q.answered and all(leg.over for leg in q.legs):
@@ -243,8 +253,8 @@
         self.module.closing(self.desk.now, end)
         for q in list(self.asking.values()):
             q.due = min(q.due, end)
-            self.desk.at(q.due + 2 * AFTER_ALL, self.overdue, q.request.id)
-            self.desk.at(q.due, self.stream_over, q.request.id)
+            self.desk.at(q.due + 2 * AFTER_ALL, self.overdue, q.request.id, q.number)
+            self.desk.at(q.due, self.stream_over, q.request.id, q.number)
 
     # ---- submissions ------------------------------------------------------------------------------
 
@@ -252,10 +262,10 @@
         now = self.desk.now
         leg = Leg(q, len(q.legs), engine, now, now + within)
         q.legs.append(leg)
-        self.desk.at(leg.until, self.time_out, q.request.id, leg.number)
+        self.desk.at(leg.until, self.time_out, q.request.id, q.number, leg.number)
         line = self.lines.line_for(self.lines.peers[engine], q)
         if line is None:
-            self.leg_over(leg, "refused_conn")
+            self.leg_over(leg, "superseded")  # never sent: the want of connections is ours
         elif line.up:
             self.send(leg, line)
         else:
@@ -282,8 +292,8 @@
             if leg.written and not leg.over and leg.ran is None:
                 self.desk.ask(Send(leg.line.number, words.Hurry(q.request.id, rank)))
 
-    def time_out(self, id: str, number: int) -> None:
-        q = self.queries.get(id)
+    def time_out(self, id: str, query: int, number: int) -> None:
+        q = self.named(id, query)
         if q is None or q.legs[number].over:
             return
         leg = q.legs[number]
@@ -375,7 +385,7 @@
             self.leg_over(leg, "overdue", give_up=True)
             return
         self.module.streaming(self.desk.now, q.request.id)
-        self.desk.at(q.due, self.stream_over, q.request.id)
+        self.desk.at(q.due, self.stream_over, q.request.id, q.number)
         self.desk.ask(Stream(q.session, stream))
 
     def passed(self, session: int) -> None:
@@ -394,9 +404,9 @@
         self.module.left(self.desk.now, q.request.id)
         self.answer(q, Cut(session, f"the result can't be read: {why}"), "cut")
 
-    def stream_over(self, id: str) -> None:
+    def stream_over(self, id: str, number: int) -> None:
         """The end of a query whose client has not read all of its stream."""
-        q = self.queries.get(id)
+        q = self.named(id, number)
         if q is None or q.answered or not any(leg.stream is not None for leg in q.legs):
             return
         self.module.left(self.desk.now, id)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -35,6 +35,7 @@
     "guarantees.order_pause": 3000,
     "guarantees.cold": 10 * SECOND,
     "guarantees.cold_from": 0.25,
+    "guarantees.tip_multiple": 4.0,
     "guarantees.fall": 2 * SECOND,
     "tick": 50,
 }
