The margin of a short patience is half again; an engine's own report counts over its refusal

Change: Lateness.margin as it was. outcome(): a refusal stands for a report only where it brings none; it presses the engine as before.

--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -161,6 +161,8 @@
             self.line_up(self.behind[q.tables].popleft(), front=True)
         if report:
             self.read_report(e, report)
+        elif result == "saturated":
+            e.reported, e.reported_at = FULL * e.cores, now
         if result not in NEVER_RAN and q.ran is None:
             q.ran = sub
         if result in MAY_STILL_RUN and q.key is not None and q.group.in_order:
@@ -176,9 +178,7 @@
         """An engine's health, from how one submission ended."""
         if result in ("finished", "overdue"):
             sub.ratio = max(GRAIN, elapsed) / max(GRAIN, cost / q.group.width if cost else sub.alone)
-        elif result == "saturated":
-            e.reported, e.reported_at = FULL * e.cores, self.now
-        if sub.ratio > SLOW:
+        if sub.ratio > SLOW or result == "saturated":
             e.pressed_until = self.now + PRESSED
         if result == "finished":
             e.fails = 0
--- a/hillchute/router/lateness.py
+++ b/hillchute/router/lateness.py
@@ -17,7 +17,6 @@
 class Lateness:
     def __init__(self) -> None:
         self.worst: Time = LEAST  # how late anything may come: an answer may need as long to get out
-        self.met: Time = 0  # the same as it was met, with nothing added
         self.at: Time = 0
         self.began: Time = 0  # of the span that is being looked at
         self.least: Time | None = None  # the least late that a query was taken in it
@@ -28,12 +27,11 @@
         faded = max(0, now - self.at) // FADES
         self.at += faded * FADES  # what is left of the time counts at the next call
         self.worst = max(by, LEAST, self.worst - faded)
-        self.met = max(by, self.met - faded)
 
     def margin(self, patience: Time) -> Time:
         """How long before the end that a client states its answer must be on its way; of a short patience
-        half is kept for the answer, or a quarter while nothing came later than half of that."""
-        return min(self.worst + OUTSIDE, patience // (2 if self.met > patience // 8 else 4))
+        half is kept for the answer."""
+        return min(self.worst + OUTSIDE, patience // 2)
 
     def took(self, now: Time, by: Time) -> None:
         """A query was handed on so long after it could have been."""
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -410,13 +410,6 @@
     assert 2 in rig.reducer.asking
 
 
-def test_short_patience_keeps_half_for_the_answer_only_on_a_late_loop():
-    late = lateness.Lateness()
-    assert late.margin(4_000) == 1_000
-    late.seen(0, 501)
-    assert late.margin(4_000) == 2_000
-
-
 def test_longest_idle_connection_gives_way_where_there_are_no_more(rig):
     lines, peers = rig.reducer.lines, rig.reducer.lines.peers
     lines.most = 3
