--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,9 +5,13 @@
 
 import pytest
 from conftest import CATALOG, LOOKUP, REPORT
+from test_router import TABLE
 
 from hillchute.decision.interface import Listing
 from hillchute.decision.teamwork import SECOND, Teamwork
+from hillchute.router import config, events
+from hillchute.router.reducer import Reducer
+from hillchute.statements import request as statement
 
 ROUTERS, ENGINES, COLD = 200, 10, 6
 FLEET = CATALOG | {
@@ -199,3 +203,23 @@
 
     few, many = cost(80), cost(1024)
     assert many < 1.2 * few * 1024 / 80
+
+
+def test_router_of_a_thousand_among_a_thousand_engines_starts_and_serves():
+    items = [
+        {"name": f"s-{n:08x}", "address": f"10.1.{n // 250}.{n % 250 + 1}:6565", "status": "Ready"}
+        for n in range(1024)
+    ]
+    known = {"offset": 1, "batch": [{"offset": 1, "topology": {"snapshot": True, "endpoints": items}}]}
+    limits = TABLE["settings"]["limits"] | {"open_cap": 100}
+    kind = TABLE["settings"]["classes"][0] | {"goal_time_ns": 10**9, "deadline_ns": 8 * 10**9}
+    settings = TABLE["settings"] | {"n_instances": 1024, "limits": limits, "classes": [kind]}
+    table = TABLE | {"known": known, "settings": settings}
+    station = config.station(table, {})
+    reducer = Reducer(Teamwork(station.seed, station.catalog, 0), station.catalog, station.sockets // 3)
+    for news in station.known:
+        reducer.reduce(events.Told(news), 0)
+    assert len(reducer.lines.peers) == 1024
+    group = next(iter(reducer.groups))
+    request = statement.Request("a" * 16, group, 8 * SECOND, b"SELECT 1 FROM sales_4.t", token="t")
+    assert [e for e in reducer.reduce(events.Asked(1, request, 1), 1) if isinstance(e, events.Connect)]
