Read once more: settings read once, no second way to pick; many modules as a lab rig

Need: on the path of every query each engine's warmth asked the settings three times, the table group's place was hashed once an engine, sites without probes scanned for what is fresh, and lots were preferred in two places; the fleet model stood in the tests, where replacing engines could not be played.

Change: cold_from, cold and what tips are read at the start; a query's place in the order is its own; choose() returns at once without probes; pick() alone prefers the lot, then home; Light keeps the rate of light work; side and suits share on_side. The model moves to hillchute/lab/many.py with engines that share cores, fill past a knee and warm: python -m hillchute lab many.

--- a/hillchute/cli/commands.py
+++ b/hillchute/cli/commands.py
@@ -1,4 +1,4 @@
-"""Verbs of `python -m hillchute`: route, check, lab up, lab parity, lab measure, lab slowloop.
+"""Verbs of `python -m hillchute`: route, check, lab up, lab parity, lab measure, lab slowloop, lab many.
 
 Owns the words of the command line and its exit codes: 0 done, 1 it ran and the answer is no, 2 it can't be
 run as asked. Must never hold logic of a subsystem.
@@ -128,6 +128,34 @@
     return 0
 
 
+@lab.command
+def many(
+    *, seed: int = 1, routers: int = 60, engines: int = 20, load: float = 0.7, json: Json = False
+) -> int:
+    """Play many routers that don't know of each other while six engines in ten are replaced; simulated.
+
+    Parameters
+    ----------
+    seed
+        What traffic is drawn from.
+    routers
+        How many.
+    engines
+        How many there are at first.
+    load
+        Work asked for, as a part of what all engines can do.
+    """
+    from hillchute.lab.many import replacement
+
+    found = replacement(seed, routers, engines, load)
+    if json:
+        show(found)
+    else:
+        for name, figure in found.items():
+            print(f"{name}: {figure}")
+    return 0
+
+
 @lab.command
 def slowloop(*, seeds: int = 20, first: int = 1, times: float = 3.0, json: Json = False) -> int:
     """Play a router whose core is full, under a played clock and sockets; exit 0 if the rules held.
--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -3,6 +3,7 @@
 from bisect import bisect
 from collections import Counter, deque
 from dataclasses import dataclass, field
+from zlib import crc32
 
 from hillchute.decision.interface import Catalog, EngineId, Listing, QueryId, Time
 
@@ -96,10 +97,14 @@
     lot: EngineId | None = None  # the cold engine that is open to it
     drawn: EngineId | None = None  # the engine that is looked at before it is sent there
     drawn_at: Time = 0
-    looks: int = 0
+    crowded: int = 0  # engines that it looked at and passed over
+    start: int = 0  # where its table group begins in the order of the engines
     blamed: "Engine | None" = None  # the first engine that answered it with an error
     streaming: bool = False
 
+    def __post_init__(self) -> None:
+        self.start = crc32(str(self.tables).encode())
+
     @property
     def out(self) -> int:
         return sum(leg.open for leg in self.legs)
@@ -220,6 +225,24 @@
         self.of[tenant] += 1
 
 
+@dataclass(slots=True)
+class Light:
+    """The work of late that is light enough for an engine that warms; at most so much in one query."""
+
+    most: float
+    began: Time
+    line: deque = field(default_factory=deque)  # (time, work)
+    work: float = 0.0
+
+    def add(self, now: Time, work: float, span: Time) -> float:
+        """Takes one in; the rate, in cores. Over a time that has just begun it is high, never low."""
+        while self.line and self.line[0][0] < now - span:
+            self.work -= self.line.popleft()[1]
+        self.line.append((now, work))
+        self.work += work
+        return self.work / max(1, min(span, now - self.began))
+
+
 @dataclass(slots=True)
 class Lane:
     """The queries of one key, in the order they were taken."""
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -8,10 +8,9 @@
 from collections import defaultdict, deque
 from heapq import heappop, heappush
 from itertools import accumulate
-from math import prod
 from zlib import crc32
 
-from hillchute.decision.state import Engine, Lane, Query, ResourceGroup, Sample, Submission, Traffic, trim
+from hillchute.decision.state import Engine, Lane, Light, Query, ResourceGroup, Sample, Submission, Traffic
 
 SECOND = 10_000
 MILLISECOND = 10
@@ -64,10 +63,15 @@
 class Teamwork:
     def __init__(self, seed, catalog, now):
         self.seed, self.catalog, self.now = seed, catalog, now
-        self.drawn, self.wake_at, self.least_cores = 0, None, 0
+        self.drawn, self.wake_at = 0, None
         self.groups = [ResourceGroup.read(catalog, n) for n in range(catalog.get("groups.count", 0))]
         self.routers = max(1, catalog.get("n_instances", 1))
         self.margin = MARGIN + 2 * catalog.get("tick", 0)
+        names = ("cold_from", "cold", "fall", "tip_multiple")
+        self.cold_from, self.cold_for, span, multiple = (catalog.get(f"guarantees.{x}", 0) for x in names)
+        cores = catalog.get("domain.kind_cores", 1)
+        tips = multiple * self.cold_from * span * (min(cores) if isinstance(cores, list) else cores)
+        self.light = Light(tips / COLD_GRAINS, now)
         shortest = min((g.target for g in self.groups if not g.is_load), default=0)
         self.dashboards = {g.number for g in self.groups if g.target == shortest and not g.is_load}
         self.queries: dict[str, Query] = {}
@@ -79,7 +83,6 @@
         self.home = {}  # table group: the engine that last ran it
         self.looks = []  # heap of (time, order, query id): look at this query again
         self.taken, self.extras, self.planned = Traffic(), deque(), deque()
-        self.began, self.light, self.light_work = now, deque(), 0.0  # (time, work) that cold engines may get
         self.probe_credit, self.probe_at = len(self.groups), 0
         self.probes = catalog.get("report.via") == "probe" and catalog.get("limits.probes", False)
         self.price = self.dear = 0.0  # mean work for a value of one, as asked; and mean time that it took
@@ -109,7 +112,6 @@
         if self.places.keys() != self.engines.keys():
             order = sorted(self.engines, key=lambda n: crc32(str(n).encode()))
             self.places = {n: place for place, n in enumerate(order)}
-        self.least_cores = min((e.cores for e in self.engines.values()), default=0)
 
     def welcome(self, now, group, late):
         """Guards the loop of this router: it reads late when its core is full, and what it then does late
@@ -122,7 +124,8 @@
     def take(self, now, query, group, due, tables=None, tenant=0, cost=None, memory=0.0, key=None):
         self.now = now
         start = now - max(TRAFFIC_SPAN, self.catalog.get("guarantees.look_back") or 0) - 2
-        trim(self.extras, start)
+        while self.extras and self.extras[0] < start:
+            self.extras.popleft()
         self.taken.add(now, tenant, start)
         g = self.groups[group]
         cost = max(1, cost or g.usual or g.target * g.width // 2)
@@ -278,7 +281,7 @@
             return True
         least, share = (self.catalog.get(f"guarantees.{x}", 0) for x in ("min_extra", "extra_share"))
         # The clock is rounded: count a little more of what was used, a little less of what was taken.
-        used = sum(t >= self.now - span - 2 for (t,) in self.extras)
+        used = sum(t >= self.now - span - 2 for t in self.extras)
         return used + 1 <= least + share * sum(t >= self.now - span + 2 for t, _ in self.taken.line)
 
     def may_defer(self, q):
@@ -302,12 +305,13 @@
         return not self.cold(e) or q.lot == e.id
 
     def cold(self, e):
-        return e.started > 0 and self.now < e.started + self.catalog.get("guarantees.cold", 0)
+        return e.started > 0 and self.now < e.started + self.cold_for
 
     def able(self, e):
         """Cores that an engine is worth: how it warms is not told; evenly, at the slowest that is stated."""
-        least, length = (self.catalog.get(f"guarantees.{x}", 0) for x in ("cold_from", "cold"))
-        return e.cores * (least + (1 - least) * (self.now - e.started) / length if self.cold(e) else 1)
+        if not self.cold(e):
+            return e.cores
+        return e.cores * (self.cold_from + (1 - self.cold_from) * (self.now - e.started) / self.cold_for)
 
     def calm(self, e):
         return self.crowd(e) <= KNEE * self.able(e)
@@ -319,18 +323,13 @@
         its part of what the engine can do now, whatever its own traffic: so it also holds when all learn of
         the engine at once (those that wait then have drawn before), when routers restart, and where the part
         of one router is less than a query."""
-        cold = [e for e in self.engines.values() if e.ready and self.cold(e)]
         work = q.cost * max(1.0, q.group.scale)  # estimates may be low: rule 4 weighs true work
-        tips = prod(self.catalog.get(f"guarantees.{x}", 0) for x in ("tip_multiple", "cold_from", "fall"))
-        if work > tips * self.least_cores / COLD_GRAINS:
+        if work > self.light.most:
             return None
-        while self.light and self.light[0][0] < self.now - TRAFFIC_SPAN:
-            self.light_work -= self.light.popleft()[1]
-        self.light.append((self.now, work))
-        self.light_work += work
+        mine = self.light.add(self.now, work, TRAFFIC_SPAN)
+        cold = [e for e in self.engines.values() if e.ready and self.cold(e)]
         if not cold:
             return None
-        mine = self.light_work / max(MILLISECOND, min(TRAFFIC_SPAN, self.now - self.began))  # in cores
         marks = list(accumulate(COLD_SHARE * self.able(e) / self.routers / mine for e in cold))
         n = bisect(marks, self.chance() * max(1.0, marks[-1]))
         return cold[n].id if n < len(cold) else None
@@ -375,10 +374,8 @@
             slots = min(slots, int((e.ram - max(e.memory, given)) // q.memory))
         return max(0, slots, least * int(not e.out))
 
-    def draw(self, engines, q):
-        """Chance, weighted against load; or the cold engine that the query has drawn already."""
-        if q.lot is not None and (lot := self.engines.get(q.lot)) in engines and self.cold(lot):
-            return lot
+    def draw(self, engines):
+        """Chance, weighted against load."""
         marks = list(accumulate((FLOOR + self.load(e) / e.cores) ** -SHARPNESS for e in engines))
         return engines[bisect(marks, self.chance() * marks[-1])]
 
@@ -392,28 +389,33 @@
 
         Guards against drawing blind: with hundreds of routers none hears of all engines in time, and one that
         fills a little more than others then fills on. Covers engines that are down, cut off or slow too."""
+        if not self.probes:
+            return self.pick(q, engines, home)
         e, q.drawn = self.engines.get(q.drawn), None
         if e and e.reported_at >= q.drawn_at:
             if e in engines and self.calm(e):
                 return e
-            q.looks += 1
+            q.crowded += 1
         elif e:  # no answer
             engines = [other for other in engines if other is not e] or engines
-        fresh = {e.id for e in engines if not self.probes or self.now - e.reported_at <= FADE}
-        if q.looks >= LOOKS and self.now - q.drawn_at < PROBE_EVERY:
+        fresh = {e.id for e in engines if self.now - e.reported_at <= FADE}
+        if q.crowded >= LOOKS and self.now - q.drawn_at < PROBE_EVERY:
             engines = [e for e in engines if e.id in fresh]
-        elif self.probes:
+        else:
             engines = [e for e in engines if e.id not in fresh or self.calm(e)] or engines
-        if not engines:
-            return None
-        e = home if home in engines and q.lot is None else self.draw(engines, q)
-        if e.id in fresh:
+        e = self.pick(q, engines, home) if engines else None
+        if e is None or e.id in fresh:
             return e
         q.drawn, q.drawn_at = e.id, self.now
         if self.now - e.probed_at >= LOOK:
             self.ask(e)
         return None
 
+    def pick(self, q, engines, home):
+        """The cold engine that it has drawn already, its group's last engine, or one by chance."""
+        lot = self.engines.get(q.lot)
+        return next((e for e in (lot, home) if e in engines), None) or self.draw(engines)
+
     def ask(self, e):
         e.probed_at, self.probe_credit = self.now, self.probe_credit - 1
         self.planned.append(("probe", e.id))
@@ -547,27 +549,29 @@
 
     def suits(self, e, q):
         """Whether a query may join a team on this engine: it is one that it might have drawn itself."""
-        parted = q.group.waits and (q.tables in e.holds or (self.in_half(e, q) and e.id != q.lot))
-        return self.allowed(e, q) and not parted and not (q.legs and q.legs[-1].engine == e.id)
+        alone = q.group.is_load or q.group.waits and (q.tables in e.holds or not self.on_side(e, q))
+        return self.allowed(e, q) and not alone and not (q.legs and q.legs[-1].engine == e.id)
 
     def side(self, engines, q):
         """Loads of a table group keep to one half of the engines, queries that wait for loads to the other.
 
         Guards against standing still behind loads that other routers sent: the halves follow from the table
         group and the engines' ids, so all routers split alike. Does harm where one half is short of some."""
-        loads, drawn = q.group.is_load, None if q.group.is_load else q.lot
-        engines = [e for e in engines if e.id == drawn or self.in_half(e, q) == loads] or engines
+        engines = [e for e in engines if self.on_side(e, q)] or engines
+        half = (len(self.places) + 1) // 2
+        if not q.group.is_load or self.routers > half:
+            return engines
         # Few routers: each has engines of its own for a group's loads; none stands behind another's.
-        own, me = loads and self.routers <= (len(self.places) + 1) // 2, self.catalog.get("me", 0)
-        mine = [e for e in engines if own and self.in_half(e, q) and self.place(e, q) % self.routers == me]
-        return mine or engines
+        me, places = self.catalog.get("me", 0), [(e, self.place(e, q)) for e in engines]
+        return [e for e, place in places if place < half and place % self.routers == me] or engines
 
     def place(self, e, q):
         """One order for all table groups, each beginning elsewhere in it: a change of the list moves few."""
-        return (self.places[e.id] + crc32(str(q.tables).encode())) % len(self.places)
+        return (self.places[e.id] + q.start) % len(self.places)
 
-    def in_half(self, e, q):
-        return self.place(e, q) < (len(self.places) + 1) // 2
+    def on_side(self, e, q):
+        loads = self.place(e, q) < (len(self.places) + 1) // 2
+        return loads == q.group.is_load or (loads and e.id == q.lot)
 
     def stands(self, q):
         """The engines for this load, if it would stand still behind one of ours on all of them.
@@ -594,16 +598,13 @@
         # of its slack may go as far. Acts in overload only; does harm where the engine is about to page.
         more = CROWD if self.waited(leader) > 0.5 else 1
         engines = [e for e in self.engines_for(leader) if self.room(e, leader, more)]
-        if not engines:
-            return  # the leader waits for the next outcome
-        e = self.choose(leader, engines, self.engines.get(self.home.get(leader.tables)))
+        e = self.choose(leader, engines, self.engines.get(self.home.get(leader.tables))) if engines else None
         if e is None:
-            return
+            return  # the leader waits for word of an engine, or for the next outcome
         team = [leader]
         if not leader.group.is_load:
-            mates = (q for q in self.queue if q.tables == leader.tables and not q.group.is_load)
-            slots = self.room(e, leader, more)
-            team += [q for q in mates if q is not leader and self.suits(e, q)][: slots - 1]
+            mates = [q for q in self.queue if q.tables == leader.tables and self.suits(e, q)]
+            team += [q for q in mates if q is not leader][: self.room(e, leader, more) - 1]
         for q in team:
             if q is leader or self.allowed(e, q):
                 self.queue.remove(q)
@@ -611,7 +612,7 @@
 
     def submit(self, q, e):
         if q.legs:
-            self.extras.append((self.now,))
+            self.extras.append(self.now)
         within = q.due - self.margin - self.now
         if self.catalog.get("limits.cancel", False) and q.group.effect == "read-only":
             # Guards against a hung member, a bad plan and a lost answer where a time-out frees the engine.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -120,9 +120,9 @@
     desk = make_desk(guarantees__look_back=SECOND, guarantees__min_extra=1, guarantees__extra_share=0.5)
     desk.take(LOOKUP)
     desk.tried(LOOKUP, result="severed")
-    desk.router.extras.append((0,))
+    desk.router.extras.append(0)
     assert desk.router.ration_left()
-    desk.router.extras.append((0,))
+    desk.router.extras.append(0)
     assert not desk.router.ration_left()
 
 
@@ -130,7 +130,7 @@
     desk = make_desk(guarantees__look_back=SECOND, guarantees__min_extra=9, guarantees__extra_share=0.5)
     q = desk.tried(LOOKUP, result="overdue")
     assert desk.router.allowed(desk.router.engines[2], q)
-    desk.router.extras.extend([(0,)] * 10)
+    desk.router.extras.extend([0] * 10)
     assert not desk.router.allowed(desk.router.engines[2], q)
 
 
