Pressure counts a router's own work once

Checked by a probe in too_heavy: where turned away and the pressure of would not have, the mean of the reports was 1.25 to 1.7 threads a core, that of load() 1.85 to 2.4; the difference is what this router began since (0.4 to 0.8 a core). The reports count that router's work as well, and as much of it has ended since: with three routers a third of all counts twice, with 200 a two-hundredth, so MASS did not show it. At fault: the mean over load(e) in too_heavy.

Now: the mean of what was told of each, at the least of our own threads there; load() stays what engines are drawn by.

--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -330,14 +330,14 @@
         return e.since(max(e.reported_at - LAG, self.now - PRESSED))
 
     def load(self, e):
-        """Threads there: as reported plus ours since; a report goes over into the average as it ages."""
-        threads = self.since(e)[0]
-        if self.held is None:
-            return e.threads
-        if e.cold(self.now):  # it starts empty and gets what lots give: others' average says nothing of it
-            return max(e.threads, threads + (e.reported * self.known(e) if e.reported else 0))
-        mean = self.held * e.cores
-        return threads + (mean if e.reported is None else mean + (e.reported - mean) * self.known(e))
+        """Threads there, at the most: as told, and ours since, none of which has ended."""
+        return e.threads if self.held is None else max(e.threads, self.since(e)[0] + self.told(e))
+
+    def told(self, e):
+        """Threads of all routers there by its last report, which goes over into the average as it ages."""
+        # One that is cold starts empty and gets what lots give: others' average says nothing of it.
+        mean = 0 if e.cold(self.now) else self.held * e.cores
+        return mean if e.reported is None else mean + (e.reported - mean) * self.known(e)
 
     def known(self, e):
         """How much of the last report still holds: what waits on a crowded engine stays so much longer."""
@@ -443,7 +443,9 @@
         line = q.group.is_load and self.behind.get(q.tables) or self.queue
         # The crowd where it may go: a mean over all engines hides that the warm are full and the cold empty.
         near = map(self.engines.get, (q.lot,) if q.lot in self.engines else self.near)
-        crowds = [self.load(e) / e.able(self.now) for e in near if e and self.held and self.fits(e, q)]
+        near = [e for e in near if e and self.held is not None and self.fits(e, q)]
+        # As told: what is ours since is there too if ours has ended, and counts twice where routers are few.
+        crowds = [max(e.threads, self.told(e)) / e.able(self.now) for e in near]
         held = sum(crowds) / len(crowds) if crowds else self.held or 0
         pressure = max(pace, held, BACKLOG * self.waited(line[0]) if line else 0)
         pressure *= OVER if self.over_share(q.tenant) else 1
--- a/tests/test_teamwork.py
+++ b/tests/test_teamwork.py
@@ -302,3 +302,30 @@
     for _ in range(7):
         desk.take(LOOKUP)
     assert [desk.router.too_heavy(q) for q in (lookup, load)] == [False, True]
+
+
+def test_pressure_counts_a_routers_own_work_once(desk):
+    """A report counts ours too; what of it has ended since is gone, what began since takes its place."""
+    router = desk.router
+    router.nearby(0, frozenset(router.engines))
+    for e in router.engines.values():
+        router.read_report(e, {"util": 1.4})
+    q = desk.take(REPORT, cost=3000)
+    assert not router.too_heavy(q)
+    for engine in router.engines:
+        for _ in range(2):
+            desk.tried(REPORT, engine)
+    assert [router.load(e) > 1.9 * e.cores for e in router.engines.values()] == [True] * 3
+    assert not router.too_heavy(q)
+
+
+def test_pressure_is_at_least_what_is_ours(desk):
+    router = desk.router
+    router.nearby(0, frozenset(router.engines))
+    for e in router.engines.values():
+        router.read_report(e, {"util": 0.5})
+    q = desk.take(REPORT, cost=3000)
+    assert not router.too_heavy(q)
+    for e in router.engines.values():
+        e.threads = 3 * e.cores
+    assert router.too_heavy(q)
