--- a/tests/test_teamwork.py
+++ b/tests/test_teamwork.py
@@ -313,8 +313,8 @@
     q = desk.take(REPORT, cost=3000)
     assert not router.too_heavy(q)
     for engine in router.engines:
-        for _ in range(2):
-            desk.tried(REPORT, engine)
+        for _ in range(4):
+            desk.tried(REPORT, engine, cost=3000)
     assert [router.load(e) > 1.9 * e.cores for e in router.engines.values()] == [True] * 3
     assert not router.too_heavy(q)
 
