--- a/hillchute/errors.py
+++ b/hillchute/errors.py
@@ -38,3 +38,12 @@
     """Another router was named other routers than this one; `where` is its name."""
 
     remedy = "give all routers the same names under `peers`, then send SIGHUP; until then no parts are lent"
+
+
+class BookNotCurrent(HillchuteError):
+    """A holder of the answer history has not applied the last policies; `where` is its name."""
+
+    remedy = (
+        "see that the router is reached by the others (`peers`); until it has applied them it answers"
+        " nothing from the history"
+    )
--- /dev/null
+++ b/hillchute/history/codec.py
@@ -0,0 +1,221 @@
+"""What holders and routers say to each other of the history: typed values to bytes and back, each field
+bounded.
+
+Owns the messages, their layout and bounds. Must never do I/O, look at a clock, or believe anything. The mark
+that says who spoke is the peers' own (peers/codec.py).
+
+Ages are durations, as of when the message was made: no clock is compared with another's.
+"""
+
+from typing import get_args
+
+import msgspec
+
+from hillchute.decision.interface import Time
+from hillchute.errors import DatagramDropped
+from hillchute.history.policy import TEXT, Book
+from hillchute.history.policy import unfit as unfit_book
+from hillchute.history.records import KILLED, Record
+from hillchute.history.slots import SLOTS
+from hillchute.history.views import Grant, Id, Promise, View
+
+NAME = 64
+MEMBERS = 4096
+WHOLE = 1 << 62
+MOST = 8 << 20  # bytes of one message: a slot's records, with rows
+
+
+class Said(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True, tag_field="type"):
+    """Any of them."""
+
+
+class Ask(Said, tag=1):
+    """For promises, to call a new view."""
+
+    view: Id
+
+
+class Promised(Said, tag=2):
+    promise: Promise
+
+
+class Call(Said, tag=3):
+    """The speaker's beat. `rest`: how long the view was in force still when this was made, for one whose last
+    grant was made at `echo` by its own clock. `book`: the highest number of those that granted."""
+
+    view: Id
+    sent: Time
+    echo: Time
+    rest: Time
+    book: int
+
+
+class Granted(Said, tag=4):
+    grant: Grant
+
+
+class Text(Said, tag=5):
+    view: View
+
+
+class WantBook(Said, tag=6):
+    above: int
+
+
+class BookIs(Said, tag=7):
+    book: Book
+
+
+class Claim(Said, tag=8):
+    """The sender wants to run a query. `number` is its own; `left`: how long it may still be sent."""
+
+    view: Id
+    number: int
+    life: int
+    customer: str
+    key: str
+    token: str
+    left: Time
+    ordered: bool
+
+
+class Judged(Said, tag=9):
+    """`verdict` as in verdict.py. With RUN the record as granted, with ANSWER the one that answers."""
+
+    number: int
+    life: int
+    verdict: int
+    why: str
+    record: Record | None = None
+
+
+class End(Said, tag=10):
+    """The sender's run has ended, as the record says; FREED if it never began. It goes on until Ended
+    comes."""
+
+    view: Id
+    record: Record
+
+
+class Ended(Said, tag=11):
+    number: int
+    life: int
+
+
+class Store(Said, tag=12):
+    """From the first holder to the others."""
+
+    view: Id
+    number: int
+    record: Record
+    age: Time
+
+
+class Stored(Said, tag=13):
+    view: Id
+    number: int
+    done: bool
+
+
+class Fetch(Said, tag=14):
+    """The sender holds a slot in this view and wants it as of the end of view `epoch`."""
+
+    view: Id
+    slot: int
+    epoch: Id
+
+
+class Data(Said, tag=15):
+    """All of a slot; `lost`: how long ago records of it may have been lost, if ever."""
+
+    view: Id
+    slot: int
+    records: tuple[Record, ...]
+    ages: tuple[Time, ...]
+    lost: Time | None
+
+
+class Elsewhere(Said, tag=16):
+    """The sender has not got it itself yet: whom it asks, and for what. No sources: it never will."""
+
+    view: Id
+    slot: int
+    epoch: Id
+    sources: dict[str, int]
+
+
+Message = (
+    Ask | Promised | Call | Granted | Text | WantBook | BookIs | Claim | Judged | End | Ended | Store | Stored
+    | Fetch | Data | Elsewhere
+)  # fmt: skip
+encoder, decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
+KINDS = get_args(Message)
+
+
+def encode(message: Message) -> bytes:
+    """The bytes; raises ValueError for what no receiver would take."""
+    if fault := unfit(message):
+        raise ValueError(fault)
+    data = encoder.encode(message)
+    if len(data) > MOST:
+        raise ValueError(f"{len(data)} bytes, {MOST} at most")
+    return data
+
+
+def decode(data: bytes, sender: str) -> Message:
+    """Raises DatagramDropped with the field that is out of its bounds."""
+    if len(data) > MOST:
+        raise DatagramDropped("history: too long", sender)
+    try:
+        message = decoder.decode(data)
+    except (msgspec.DecodeError, RecursionError) as fault:
+        raise DatagramDropped(f"history: {fault}", sender) from None
+    if fault := unfit(message):
+        raise DatagramDropped(f"history: {fault}", sender)
+    return message
+
+
+def unfit(message: Message) -> str:
+    """The first field out of its bounds. Guards against a peer that may mark what it likes."""
+    for name in message.__struct_fields__:
+        if fault := unfit_field(name, getattr(message, name)):
+            return fault
+    if isinstance(message, Data) and len(message.records) != len(message.ages):
+        return "ages"
+    return ""
+
+
+def unfit_field(name: str, value: object) -> str:
+    match value:
+        case bool() | None:
+            return ""
+        case int():
+            most = SLOTS - 1 if name == "slot" else WHOLE
+            return "" if 0 <= value <= most else name
+        case str():
+            return "" if len(value) <= TEXT else name
+        case (int() as number, str() as speaker):
+            return "" if 0 <= number < WHOLE and len(speaker) <= NAME else name
+        case dict():
+            fits = len(value) <= MEMBERS and all(
+                0 < len(n) <= NAME and 0 <= life < WHOLE for n, life in value.items()
+            )
+            return "" if fits else name
+        case bytes():
+            return ""  # rows: MOST bounds them
+        case Book():
+            return unfit_book(value)
+        case Record():
+            return unfit_record(value)
+        case tuple():
+            return next(filter(None, (unfit_field(name, one) for one in value)), "")
+        case _:  # a view, a promise, a grant
+            fields = value.__struct_fields__
+            return next(filter(None, (unfit_field(each, getattr(value, each)) for each in fields)), "")
+
+
+def unfit_record(record: Record) -> str:
+    for name in record.__struct_fields__:
+        if fault := unfit_field(name, getattr(record, name)):
+            return fault
+    return "state" if record.state > KILLED else ""
--- /dev/null
+++ b/hillchute/history/keeper.py
@@ -0,0 +1,647 @@
+"""One router's part in the history, as one who holds it and as one who asks: messages and the time in,
+messages out.
+
+Owns the slots that it holds and from which view on, the claims that wait for copies, its own claims until
+they have ended, and the book that it has applied. Must never do I/O, look at a clock, or decide what
+verdict.py decides.
+
+What is relied on: a claim is granted only once every holder of its slot, in one view that all of them have
+taken up, has the record. A holder in a new view that was none before answers for a slot only once it has all
+that a holder of the view before had, which takes part in that no more from then on. Where no such holder is
+left the slot is empty, and counts as lost from then.
+"""
+
+from collections import Counter, deque
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+import msgspec
+
+from hillchute.decision.interface import Time
+from hillchute.errors import BookNotCurrent
+from hillchute.history.codec import (
+    Ask,
+    BookIs,
+    Call,
+    Claim,
+    Data,
+    Elsewhere,
+    End,
+    Ended,
+    Fetch,
+    Granted,
+    Judged,
+    Message,
+    Promised,
+    Store,
+    Stored,
+    Text,
+    WantBook,
+)
+from hillchute.history.policy import Book
+from hillchute.history.records import FREED, OUT, STILL_OUT, Kept, Record, Shelf
+from hillchute.history.slots import SLOTS, holders, slot_of
+from hillchute.history.verdict import FOUNDING, Verdict, judge
+from hillchute.history.views import BEAT, LEASE, NONE, Id, View, Views
+
+AGAIN: Time = 1_000  # after 0.1 s without an answer a message goes again: some ways there and back
+FETCHES = 64  # slots asked for at once: about a quarter of a second of a loaded loop's messages
+SWEEP_PARTS = 4  # sweeps within the time for erasing
+LEFT_FOR: Time = 600_000  # a slot that it holds no more is kept so long for those that hold it now
+FORGET_FREED: Time = (
+    600_000  # so long a claim that was given up is known, should its call for a run come late
+)
+VIEWS_KEPT = 64  # views that a slot which nobody touched is brought through, one by one
+
+
+class Disk(Protocol):
+    def write(self, moved: Mapping[tuple[str, str, str], Record | None], since: Mapping) -> bool: ...
+
+
+class Slot(msgspec.Struct):
+    """What this router has of one slot."""
+
+    at: int = 0  # how many of the views it was brought through
+    holds: Id | None = None  # the view in which it last was a holder
+    whole: Id | None = None  # the view as of which it has all; it may grant where that is the one it holds in
+    lost: Time | None = None  # when records may have been lost, by this router's clock
+    wants: Id | None = None  # the view whose end it needs
+    sources: dict[str, int] = {}
+    silent: frozenset[str] = frozenset()  # those of them that said they have not got it
+    since: Time = 0
+    asked: Time = 0
+    left: Time | None = None  # when it became another's
+
+
+class Mine(msgspec.Struct):
+    """A claim of this router's own."""
+
+    number: int
+    customer: str
+    key: str
+    token: str
+    due: Time
+    ordered: bool
+    record: Record | None = None  # as granted
+    end: Record | None = None  # as it ended, until the holders have it
+    given_up: bool = False
+    sent: Time = 0
+    began: Time = 0
+
+
+class Round(msgspec.Struct):
+    """A record on its way to the other holders."""
+
+    record: Record
+    waits: set[str]
+    began: Time
+    sent: Time
+    asker: str
+    ends: bool
+
+
+class Keeper:
+    def __init__(
+        self,
+        me: str,
+        life: int,
+        named: list[str],
+        book: Book,
+        now: Time,
+        living: Callable[[], Mapping[str, int]],
+        disk: Disk | None = None,
+    ) -> None:
+        """`living`: this router and all others that live, with their lives."""
+        self.me, self.life, self.living, self.disk = me, life, living, disk
+        self.book, self.told = book, book.number  # the number that any call has named
+        self.views, self.shelf = Views(me, life, named, now), Shelf()
+        self.taken_up: list[View] = []
+        self.forgot_views = 0  # of `taken_up` that were dropped
+        self.slots = [Slot() for _ in range(SLOTS)]
+        self.behind: deque[int] = deque()  # slots to be brought to the last view
+        self.wanting: dict[int, None] = {}  # slots that it is fetching
+        self.floor: Id = (0, "")  # it takes part in no view before: others have fetched from it
+        self.rounds: dict[int, Round] = {}
+        self.freed: dict[tuple[str, int, int], Time] = {}
+        self.given: set[int] = set()  # slots that somebody has fetched
+        self.mine: dict[int, Mine] = {}
+        self.numbers = 0
+        self.out: list[tuple[str, Message]] = []
+        self.verdicts: list[tuple[int, Verdict, str, bytes | None]] = []
+        self.counts: Counter[str] = Counter()
+        self.now, self.beat_at, self.swept, self.asked_at = now, now, now, now - AGAIN
+
+    # ---- this router's own queries --------------------------------------------------------------------
+
+    def claim(self, now: Time, customer: str, key: str, token: str, due: Time, ordered: bool = False) -> int:
+        """A keyed query came; its verdict comes in `verdicts`, under the number given, until `due`."""
+        self.now = now
+        self.numbers += 1
+        mine = self.mine[self.numbers] = Mine(self.numbers, customer, key, token, due, ordered, began=now)
+        self.send_claim(mine)
+        return mine.number
+
+    def give_up(self, now: Time, number: int) -> None:
+        """Its client has gone, or has been answered without a verdict: it will not run."""
+        self.now, mine = now, self.mine.get(number)
+        if mine is not None and mine.end is None:
+            self.end(mine, FREED)
+
+    def ended(self, now: Time, number: int, state: int, rows: bytes | None = None) -> None:
+        """A query that was granted is over: FREED if no submission of it can have had an effect."""
+        self.now, mine = now, self.mine.get(number)
+        if mine is not None and mine.end is None:
+            self.end(mine, state, rows)
+
+    def end(self, mine: Mine, state: int, rows: bytes | None = None) -> None:
+        mine.given_up = mine.record is None
+        blank = Record(
+            mine.customer, mine.key, mine.token, 0, 0, 0, self.me, self.life, mine.number, 0, FREED, None
+        )
+        keeps = self.book.of(mine.customer).rows
+        mine.end = msgspec.structs.replace(mine.record or blank, state=state, rows=rows if keeps else None)
+        self.send_end(mine)
+
+    def send_claim(self, mine: Mine) -> None:
+        mine.sent = self.now
+        first = self.first(mine.customer, mine.key)
+        if first is not None:
+            left = max(0, mine.due - self.now)
+            view, about = self.views.view.id, (mine.customer, mine.key, mine.token)
+            self.say(first, Claim(view, mine.number, self.life, *about, left, mine.ordered))
+
+    def send_end(self, mine: Mine) -> None:
+        mine.sent = self.now
+        first = self.first(mine.customer, mine.key)
+        if first is not None:
+            self.say(first, End(self.views.view.id, mine.end))
+
+    def first(self, customer: str, key: str) -> str | None:
+        view = self.views.view
+        if view is NONE:
+            return None
+        return next(iter(holders(slot_of(customer, key), view.members, 1)), None)
+
+    # ---- in and out -----------------------------------------------------------------------------------
+
+    def say(self, to: str, message: Message) -> None:
+        if to == self.me:
+            self.receive(self.now, to, message)
+        else:
+            self.out.append((to, message))
+
+    def receive(self, now: Time, sender: str, message: Message) -> None:
+        """A message that may be believed came from a router, or from this one."""
+        self.now = now
+        match message:
+            case Ask(view):
+                if sender == view[1]:
+                    self.say(sender, Promised(self.views.ask(now, view)))
+            case Promised(promise):
+                if self.views.promised(now, sender, promise, self.living(), self.book.copies):
+                    self.begin_view()
+            case Call():
+                self.called(sender, message)
+            case Granted(grant):
+                self.granted(sender, grant)
+            case Text(view):
+                if sender == view.speaker and self.views.take_up(view):
+                    self.view_taken_up()
+            case WantBook(above):
+                if self.book.number > above:
+                    self.say(sender, BookIs(self.book))
+            case BookIs(book):
+                self.apply(now, book)
+            case Claim():
+                self.claimed(sender, message)
+            case Judged():
+                self.judged(message)
+            case End(_, record):
+                if record.owner == sender:
+                    self.end_came(sender, message)
+            case Ended(number, life):
+                mine = self.mine.get(number)
+                if life == self.life and mine is not None and mine.end is not None:
+                    del self.mine[number]
+            case Store():
+                self.store(sender, message)
+            case Stored():
+                self.stored(sender, message)
+            case Fetch():
+                self.fetched(sender, message)
+            case Data():
+                self.data(sender, message)
+            case Elsewhere():
+                self.elsewhere(sender, message)
+
+    # ---- views ----------------------------------------------------------------------------------------
+
+    def begin_view(self) -> None:
+        view = self.views.proposed
+        if self.views.take_up(view):
+            self.view_taken_up()
+        for name in view.members:
+            if name != self.me:
+                self.say(name, Text(view))
+        self.beat_at = self.now
+        self.call()
+
+    def call(self) -> None:
+        views, book = self.views, max([self.book.number, *self.views.books.values()])
+        rest = views.rest(self.now)
+        for name in self.living():
+            echo = views.echoes.get(name, 0)
+            self.say(name, Call(views.proposed.id, self.now, echo, rest if echo else 0, book))
+
+    def called(self, sender: str, call: Call) -> None:
+        if sender != call.view[1]:
+            return
+        if call.view >= self.views.highest:
+            self.told = max(self.told, call.book)
+        grant = self.views.called(self.now, call.view, call.sent, self.book.number)
+        if grant.given and call.echo:
+            self.views.forced(call.view, call.echo, call.rest)
+        self.say(sender, Granted(grant))
+        if self.told > self.book.number:
+            self.say(sender, WantBook(self.book.number))
+
+    def granted(self, sender: str, grant: object) -> None:
+        self.views.answered(sender, grant)
+        if grant.book > self.book.number:
+            self.say(sender, WantBook(self.book.number))
+        if grant.lacks and self.views.proposed and grant.view == self.views.proposed.id:
+            self.say(sender, Text(self.views.proposed))
+
+    def view_taken_up(self) -> None:
+        self.given.clear()
+        self.taken_up.append(self.views.view)
+        self.rounds.clear()  # what waits for copies in an earlier view is asked for again
+        self.counts["views"] += 1
+        self.behind = deque(range(SLOTS))
+        if len(self.taken_up) > VIEWS_KEPT:
+            for slot in range(SLOTS):
+                self.bring(slot)
+            self.forgot_views += len(self.taken_up) - 1
+            del self.taken_up[:-1]
+
+    def bring(self, number: int) -> Slot:
+        """A slot as it is in the last view, brought through those that it has not seen."""
+        slot = self.slots[number]
+        while slot.at < self.forgot_views + len(self.taken_up):
+            view = self.taken_up[slot.at - self.forgot_views]
+            slot.at += 1
+            self.enter(number, slot, view)
+        return slot
+
+    def enter(self, number: int, slot: Slot, view: View) -> None:
+        holds = self.me in holders(number, view.members, 1 + view.copies)
+        if not holds or view.members[self.me] != self.life:
+            slot.left = self.now if slot.left is None else slot.left
+            return
+        slot.left = None
+        if view.before is None:
+            self.lose(number, slot, view)
+            if view.first and self.book.began_lately(self.now, FOUNDING):
+                slot.lost = None  # the operator says that there was none before
+        elif slot.whole == view.before:
+            slot.whole, slot.wants = view.id, None
+        elif slot.wants is None or slot.holds != view.before:
+            were = holders(number, view.were, 1 + view.had)
+            self.want(number, slot, view.before, {name: view.were[name] for name in were})
+        # Else it was fetching in the view before, and goes on: nothing was granted there.
+        slot.holds = view.id
+
+    def want(self, number: int, slot: Slot, epoch: Id, sources: Mapping[str, int]) -> None:
+        slot.wants, slot.since, slot.asked, slot.silent = epoch, self.now, 0, frozenset()
+        slot.sources = {name: life for name, life in sources.items() if name != self.me}
+        self.wanting[number] = None
+
+    def lose(self, number: int, slot: Slot, view: View) -> None:
+        """Nobody is left who had all: what earlier holders may still do until their lease ends counts,
+        too."""
+        slot.whole, slot.holds, slot.lost = view.id, view.id, self.now + LEASE
+        slot.wants, slot.sources = None, {}
+        self.wanting.pop(number, None)
+        self.counts["slots lost"] += 1
+
+    # ---- slots that move ------------------------------------------------------------------------------
+
+    def fetch(self) -> None:
+        view = self.views.view
+        for number in list(self.wanting)[:FETCHES]:
+            slot = self.bring(number)
+            if slot.wants is None or slot.left is not None:
+                self.wanting.pop(number, None)
+                continue
+            if slot.silent >= slot.sources.keys() or self.now - slot.since > LEASE:
+                self.lose(number, slot, view)
+                continue
+            if self.now - slot.asked < 4 * AGAIN:
+                continue
+            slot.asked = self.now
+            for name in slot.sources.keys() - slot.silent:
+                self.say(name, Fetch(view.id, number, slot.wants))
+
+    def fetched(self, sender: str, fetch: Fetch) -> None:
+        if fetch.view < self.floor:
+            return
+        self.floor = fetch.view
+        slot = self.bring(fetch.slot)
+        if slot.whole in (fetch.epoch, fetch.view):
+            kept = list(self.shelf.in_slot(fetch.slot))
+            ages = tuple(max(0, self.now - k.since) for k in kept)
+            lost = None if slot.lost is None else max(0, self.now - slot.lost)
+            self.say(sender, Data(fetch.view, fetch.slot, tuple(k.record for k in kept), ages, lost))
+            self.given.add(fetch.slot)
+        elif slot.wants is not None and slot.holds in (fetch.epoch, fetch.view):
+            sources = {name: life for name, life in slot.sources.items() if name not in slot.silent}
+            self.say(sender, Elsewhere(fetch.view, fetch.slot, slot.wants, sources))
+        else:
+            self.say(sender, Elsewhere(fetch.view, fetch.slot, fetch.epoch, {}))
+
+    def data(self, sender: str, data: Data) -> None:
+        slot = self.bring(data.slot)
+        if data.view != self.views.view.id or slot.wants is None or sender not in slot.sources:
+            return
+        for record, age in zip(data.records, data.ages, strict=True):
+            if slot_of(record.customer, record.key) == data.slot:
+                self.shelf.put(record, self.now, age, self.book)
+        if data.lost is not None:
+            slot.lost = max(slot.lost or 0, self.now - data.lost)
+        slot.whole, slot.wants, slot.sources = slot.holds, None, {}
+        self.wanting.pop(data.slot, None)
+        self.counts["slots fetched"] += 1
+        self.save()
+
+    def elsewhere(self, sender: str, word: Elsewhere) -> None:
+        slot = self.bring(word.slot)
+        if word.view != self.views.view.id or slot.wants is None or sender not in slot.sources:
+            return
+        if word.epoch != slot.wants:  # it was fetching, so nothing was granted there: its sources are ours
+            if word.epoch == slot.whole:
+                slot.whole, slot.wants, slot.sources = slot.holds, None, {}
+                self.wanting.pop(word.slot, None)
+            else:
+                self.want(word.slot, slot, word.epoch, word.sources)
+        else:
+            slot.silent |= {sender}
+
+    # ---- as the first holder --------------------------------------------------------------------------
+
+    def claimed(self, sender: str, claim: Claim) -> None:
+        verdict, why, kept = self.judge(sender, claim)
+        if verdict is not Verdict.RUN:
+            record = kept.record if kept is not None and verdict is Verdict.ANSWER else None
+            self.say(sender, Judged(claim.number, claim.life, verdict.value, why, record))
+            return
+        if kept is not None and kept.record.state == OUT:
+            record = kept.record
+        else:
+            attempt = 1 + (kept.record.attempt if kept is not None else 0)
+            place = self.shelf.next_place(claim.customer, claim.key)
+            about = (claim.customer, claim.key, claim.token)
+            whose = (sender, claim.life, claim.number)
+            record = Record(*about, self.now, place, attempt, *whose, claim.left)
+            if not self.shelf.put(record, self.now, 0, self.book):
+                return
+        self.copy(sender, record, False)
+
+    def judge(self, sender: str, claim: Claim) -> tuple[Verdict, str, Kept | None]:
+        number = slot_of(claim.customer, claim.key)
+        fault, slot = self.unable(number, claim.view)
+        if fault:
+            return Verdict.DEFER, fault, None
+        if (sender, claim.life, claim.number) in self.freed:
+            return Verdict.DEFER, "it was given up", None
+        kept = self.shelf.find(claim.customer, claim.key, claim.token)
+        others = self.shelf.of_key(claim.customer, claim.key) if claim.ordered else ()
+        outs = (k for k in others if k is not kept and k.record.state == OUT and not self.over(k))
+        before = next(outs, None)
+        record = kept.record if kept is not None else None
+        mine = record is not None and (record.owner, record.life, record.claim) == (
+            sender,
+            claim.life,
+            claim.number,
+        )
+        lives = record is not None and self.living().get(record.owner) == record.life
+        lost_for = None if slot.lost is None or slot.lost <= self.book.founded else self.now - slot.lost
+        room = self.shelf.room(claim.customer, claim.key, self.now, self.book)
+        verdict = judge(self.book, claim.customer, kept, before, self.now, lost_for, lives, mine, room)
+        return *verdict, kept
+
+    def over(self, kept: Kept) -> bool:
+        """Whether a run whose router is gone can't be out any more."""
+        record = kept.record
+        gone = self.living().get(record.owner) != record.life
+        return gone and self.now - kept.since > record.patience + STILL_OUT
+
+    def unable(self, number: int, view: Id) -> tuple[str, Slot]:
+        """Why this router can't speak for a slot now; empty if it can."""
+        slot, views = self.bring(number), self.views
+        fault = ""
+        if view != views.view.id or self.floor > view or not views.in_force(self.now):
+            fault = "no view is in force here"
+        elif holders(number, views.view.members, 1) != (self.me,):
+            fault = "it is another's"
+        elif slot.whole != view:
+            fault = "its history is on its way"
+        elif self.book.number < self.told:
+            fault = "the policies here are not current"
+        return fault, slot
+
+    def copy(self, asker: str, record: Record, ends: bool) -> None:
+        """The record goes to the other holders; the asker hears once all have it."""
+        view, number = self.views.view, slot_of(record.customer, record.key)
+        others = set(holders(number, view.members, 1 + view.copies)) - {self.me}
+        for n, round in self.rounds.items():
+            if (round.record, round.asker, round.ends) == (record, asker, ends):
+                self.send_round(n, round)
+                return
+        self.numbers += 1
+        round = self.rounds[self.numbers] = Round(record, others, self.now, self.now, asker, ends)
+        if not self.save():
+            del self.rounds[self.numbers]
+            return
+        self.send_round(self.numbers, round)
+
+    def send_round(self, number: int, round: Round) -> None:
+        round.sent = self.now
+        kept = self.shelf.find(round.record.customer, round.record.key, round.record.token)
+        age = self.now - kept.since if kept is not None else 0
+        for name in sorted(round.waits):
+            self.say(name, Store(self.views.view.id, number, round.record, max(0, age)))
+        if not round.waits:
+            self.copied(number, round)
+
+    def copied(self, number: int, round: Round) -> None:
+        self.rounds.pop(number, None)
+        record = round.record
+        if round.ends:
+            self.say(round.asker, Ended(record.claim, record.life))
+        else:
+            word = Judged(record.claim, record.life, Verdict.RUN.value, "new", record)
+            self.say(round.asker, word)
+
+    def store(self, sender: str, store: Store) -> None:
+        record, view = store.record, self.views.view
+        number = slot_of(record.customer, record.key)
+        slot = self.bring(number)
+        first = holders(number, view.members, 1 + view.copies)
+        fits = store.view == view.id == slot.whole and view.id >= self.floor and slot.left is None
+        done = fits and first[:1] == (sender,) and self.me in first
+        if done:
+            self.shelf.put(record, self.now, store.age, self.book)
+            done = self.save()
+        self.say(sender, Stored(store.view, store.number, done))
+
+    def stored(self, sender: str, word: Stored) -> None:
+        round = self.rounds.get(word.number)
+        if round is None or word.view != self.views.view.id or not word.done:
+            return
+        round.waits.discard(sender)
+        if not round.waits:
+            self.copied(word.number, round)
+
+    def end_came(self, sender: str, end: End) -> None:
+        record = end.record
+        number = slot_of(record.customer, record.key)
+        fault, _ = self.unable(number, end.view)
+        if fault and fault != "the policies here are not current":
+            return  # it comes again, to whoever can
+        kept = self.shelf.find(record.customer, record.key, record.token)
+        if record.attempt == 0:  # it was given up before its verdict came
+            self.freed[sender, record.life, record.claim] = self.now
+            if kept is None or (kept.record.owner, kept.record.life, kept.record.claim) != (
+                sender,
+                record.life,
+                record.claim,
+            ):
+                self.say(sender, Ended(record.claim, record.life))
+                return
+            record = msgspec.structs.replace(kept.record, state=FREED)
+        age = self.now - kept.since if kept is not None else 0
+        self.shelf.put(record, self.now, age, self.book)
+        self.copy(sender, record, True)
+
+    # ---- as the one who asked -------------------------------------------------------------------------
+
+    def judged(self, word: Judged) -> None:
+        mine, verdict, rows = self.mine.get(word.number), Verdict(word.verdict), None
+        if word.life != self.life:
+            return
+        if mine is None:
+            if verdict is Verdict.RUN and word.record is not None:
+                # Guards against a claim that came late, after it was given up: nobody else would end it.
+                view, record = self.views.view.id, msgspec.structs.replace(word.record, state=FREED)
+                first = self.first(record.customer, record.key)
+                if first is not None:
+                    self.say(first, End(view, record))
+            return
+        if mine.record is not None or mine.end is not None:
+            return
+        if verdict is Verdict.WAIT or verdict is Verdict.DEFER:
+            mine.sent = self.now  # asked again until it is due
+            return
+        if verdict is Verdict.RUN:
+            if word.record is None or self.now >= mine.due:
+                return  # it is given up when it is due
+            mine.record = word.record
+        else:
+            rows = word.record.rows if word.record is not None else None
+            if verdict is Verdict.ANSWER and rows is None:
+                verdict = Verdict.KILL
+            del self.mine[word.number]
+        self.verdicts.append((word.number, verdict, word.why, rows))
+
+    # ---- the book -------------------------------------------------------------------------------------
+
+    def apply(self, now: Time, book: Book) -> bool:
+        """A book with a higher number holds from now; what it forbids goes at once."""
+        if book.number <= self.book.number:
+            return False
+        self.now, self.book = now, book
+        self.told = max(self.told, book.number)
+        self.counts["erased"] += self.shelf.sweep(now, book)
+        self.swept = now
+        self.save()
+        return True
+
+    def not_applied(self) -> list[BookNotCurrent]:
+        """As far as this router knows, if it speaks for all: who has not applied the last book."""
+        if not self.views.proposed:
+            return []
+        last = max([self.book.number, *self.views.books.values()])
+        late = {n: self.views.books.get(n, 0) for n in self.living() if n != self.me}
+        return [BookNotCurrent(f"policies {have}, not {last}", n) for n, have in late.items() if have < last]
+
+    def save(self) -> bool:
+        """What has changed goes to the disk, where there is one; whether it may be relied on."""
+        moved, self.shelf.moved = self.shelf.moved, {}
+        if self.disk is None or not moved:
+            return True
+        since = {}
+        for name in moved:
+            kept = self.shelf.find(*name)
+            if kept is not None:
+                since[name] = kept.since
+        return self.disk.write(moved, since)
+
+    # ---- time -----------------------------------------------------------------------------------------
+
+    def tick(self, now: Time) -> None:
+        """Called every AGAIN or so."""
+        self.now = now
+        self.speak()
+        for _ in range(min(FETCHES, len(self.behind))):
+            self.bring(self.behind.popleft())
+        if now - self.asked_at >= AGAIN:
+            self.asked_at = now
+            self.fetch()
+        for n, round in list(self.rounds.items()):
+            if now - round.began > LEASE:
+                del self.rounds[n]
+            elif now - round.sent >= AGAIN:
+                self.send_round(n, round)
+        for mine in list(self.mine.values()):
+            self.look_again(mine)
+        if now - self.swept >= self.book.erase_ms * 10 // SWEEP_PARTS:
+            self.swept = now
+            self.counts["erased"] += self.shelf.sweep(now, self.book)
+            self.drop_left()
+            self.save()
+            self.freed = {k: at for k, at in self.freed.items() if now - at < FORGET_FREED}
+
+    def look_again(self, mine: Mine) -> None:
+        if mine.end is not None:
+            if self.now - mine.sent >= AGAIN:
+                self.send_end(mine)
+            if self.now - mine.due > FORGET_FREED:
+                self.mine.pop(mine.number, None)  # the holders take its run for over by now
+        elif mine.record is None and self.now >= mine.due:
+            self.verdicts.append((mine.number, Verdict.DEFER, "no verdict in time", None))
+            self.end(mine, FREED)
+        elif mine.record is None and self.now - mine.sent >= AGAIN:
+            self.send_claim(mine)
+
+    def speak(self) -> None:
+        do = self.views.look(self.now, self.living())
+        if do and self.now >= self.beat_at:
+            self.beat_at = self.now + BEAT
+            if do == "call":
+                self.call()
+            else:
+                for name in self.living():
+                    self.say(name, Ask(self.views.asking))
+
+    def drop_left(self) -> None:
+        """What is another's goes, once its holders have had the time to fetch it."""
+        for number, slot in enumerate(self.slots):
+            if slot.left is not None and self.now - slot.left > LEFT_FOR:
+                self.shelf.drop_slot(number)
+                slot.whole, slot.left = None, self.now
+
+    @property
+    def handed_over(self) -> bool:
+        """Whether nobody needs this router for the history any more."""
+        holds = [n for n, slot in enumerate(self.slots) if slot.left is None and self.shelf.slots[n]]
+        return not self.mine and self.given.issuperset(holds)
--- /dev/null
+++ b/hillchute/history/records.py
@@ -0,0 +1,163 @@
+"""What one holder has: records by slot, key and token, within each customer's bounds.
+
+Owns the records in memory, how two versions of one become one, and which may go. Pure: the time comes in.
+Must never decide what happens to a query, nor talk to another holder.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+
+import msgspec
+
+from hillchute.decision.interface import Time
+from hillchute.history.policy import Book
+from hillchute.history.slots import SLOTS, slot_of
+
+OUT, FREED, FINISHED, KILLED = range(4)  # a run is out; it never began; how it ended
+STILL_OUT: Time = 300_000  # past its patience no submission of a query is out: longer than any closing time
+OVERHEAD = 400  # bytes that a record takes beside its rows, as measured
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """One keyed query. `attempt` counts the claims that were granted for its token: the last one's word
+    holds."""
+
+    customer: str
+    key: str
+    token: str
+    taken: Time  # Unix, by the clock of the holder that granted it
+    place: int  # in the order of its key
+    attempt: int
+    owner: str  # the router that runs it
+    life: int  # of the owner: `born`
+    claim: int  # the owner's number for it
+    patience: Time  # how long after `taken` it may still be sent
+    state: int = OUT
+    rows: bytes | None = None
+
+    @property
+    def version(self) -> tuple[int, bool, int]:
+        """Whatever comes first, in whatever order and how often: the highest stays."""
+        return self.attempt, self.state != OUT, self.state
+
+    @property
+    def size(self) -> int:
+        return OVERHEAD + len(self.rows or b"")
+
+
+class Kept(msgspec.Struct):
+    record: Record
+    since: Time  # by this holder's clock: when it was taken
+
+
+class Shelf:
+    """All records of one holder."""
+
+    def __init__(self) -> None:
+        self.slots: list[dict[tuple[str, str], dict[str, Kept]]] = [{} for _ in range(SLOTS)]
+        self.of: Counter[str] = Counter()  # records of each customer
+        self.bytes = 0
+        self.moved: dict[tuple[str, str, str], Record | None] = {}  # for the disk: as it is now
+
+    def find(self, customer: str, key: str, token: str) -> Kept | None:
+        return self.slots[slot_of(customer, key)].get((customer, key), {}).get(token)
+
+    def of_key(self, customer: str, key: str) -> list[Kept]:
+        return list(self.slots[slot_of(customer, key)].get((customer, key), {}).values())
+
+    def next_place(self, customer: str, key: str) -> int:
+        return 1 + max((k.record.place for k in self.of_key(customer, key)), default=0)
+
+    def in_slot(self, slot: int) -> Iterator[Kept]:
+        for tokens in self.slots[slot].values():
+            yield from tokens.values()
+
+    def all(self) -> Iterator[Kept]:
+        for slot in range(SLOTS):
+            yield from self.in_slot(slot)
+
+    def put(self, record: Record, now: Time, age: Time, book: Book) -> bool:
+        """Takes a version in; whether it is the one that stands now. What the book has erased does not come
+        back: a late copy of it is no news. A run that is out stays, whatever the book says, until it ends."""
+        erased = book.erased(record.customer, record.key, record.taken, age)
+        if erased and record.state != OUT:
+            old = self.find(record.customer, record.key, record.token)
+            if old is not None and old.record.version < record.version:
+                self.drop(old.record)
+            return False
+        tokens = self.slots[slot_of(record.customer, record.key)].setdefault(
+            (record.customer, record.key), {}
+        )
+        old = tokens.get(record.token)
+        if old is not None and old.record.version >= record.version:
+            return old.record.version == record.version
+        if not book.of(record.customer).rows and record.rows is not None:
+            record = msgspec.structs.replace(record, rows=None)
+        if old is None:
+            self.of[record.customer] += 1
+        else:
+            self.bytes -= old.record.size
+        # Of two ages of one attempt the higher: a copy's way only makes it look younger.
+        same = old is not None and old.record.attempt == record.attempt
+        tokens[record.token] = Kept(record, min(now - age, old.since) if same else now - age)
+        self.bytes += record.size
+        self.moved[record.customer, record.key, record.token] = record
+        return True
+
+    def drop(self, record: Record) -> None:
+        tokens = self.slots[slot_of(record.customer, record.key)]
+        mine = tokens[record.customer, record.key]
+        del mine[record.token]
+        if not mine:
+            del tokens[record.customer, record.key]
+        self.of[record.customer] -= 1
+        self.bytes -= record.size
+        self.moved[record.customer, record.key, record.token] = None
+
+    def drop_slot(self, slot: int) -> None:
+        for kept in list(self.in_slot(slot)):
+            self.drop(kept.record)
+
+    def sweep(self, now: Time, book: Book) -> int:
+        """Erases what the book forbids; how many went. Rows go where a policy keeps the ending alone."""
+        gone = 0
+        for kept in list(self.all()):
+            record, age = kept.record, now - kept.since
+            if record.state == OUT and age <= record.patience + STILL_OUT:
+                continue
+            if book.erased(record.customer, record.key, record.taken, age):
+                self.drop(record)
+                gone += 1
+            elif record.rows is not None and not book.of(record.customer).rows:
+                self.bytes -= len(record.rows)
+                kept.record = msgspec.structs.replace(record, rows=None)
+                self.moved[record.customer, record.key, record.token] = kept.record
+                gone += 1
+        return gone
+
+    def room(self, customer: str, key: str, now: Time, book: Book) -> bool:
+        """Whether one more may be taken. What is past its least time makes room, the oldest first; where all
+        is within it, there is none: nobody's least time gives way to new work, its own customer's least of
+        all."""
+        policy, mine = book.of(customer), self.of_key(customer, key)
+
+        def short() -> bool:
+            many, size = len(mine), sum(k.record.size for k in mine)
+            return many >= policy.most or size + OVERHEAD > policy.most_bytes
+
+        mine.sort(key=lambda k: k.since, reverse=True)
+        while mine and short() and self.may_go(mine[-1], now, book):
+            self.drop(mine.pop().record)
+        if short():
+            return False
+        if self.of[customer] < policy.most_records:
+            return True
+        old = [k for k in self.all() if k.record.customer == customer and self.may_go(k, now, book)]
+        old.sort(key=lambda k: k.since)
+        for kept in old[: max(1, policy.most_records // 64)]:  # some at once: looking for them costs
+            self.drop(kept.record)
+        return self.of[customer] < policy.most_records
+
+    @staticmethod
+    def may_go(kept: Kept, now: Time, book: Book) -> bool:
+        return kept.record.state != OUT and book.due(kept.record.customer, now - kept.since)
--- /dev/null
+++ b/hillchute/lab/history_net.py
@@ -0,0 +1,331 @@
+"""Holders of the history over one network that loses, delays, repeats and cuts, in simulated time; clients
+that resend; engines that count what ran. What breaks a rule is told by what clients and engines saw.
+
+Owns the network, the clock, the faults and the counts of broken rules. Must never know how a holder decides.
+"""
+
+import random
+from collections import Counter, defaultdict
+from heapq import heappop, heappush
+
+import msgspec
+
+from hillchute.decision.interface import Time
+from hillchute.history.codec import decode, encode
+from hillchute.history.keeper import Keeper
+from hillchute.history.policy import MS, Book, Forget
+from hillchute.history.records import FINISHED, FREED, KILLED
+from hillchute.history.verdict import Verdict
+from hillchute.history.views import LEASE
+
+SECOND = 10_000
+STEP: Time = 500
+EPOCH: Time = 17_000_000_000_000
+PATIENCE: Time = 4 * SECOND
+NOTICED = (1 * SECOND, 3 * SECOND)  # until a router knows that another died, came, or was cut off
+DELAY: tuple[Time, Time] = (5, 300)  # half a millisecond to 30
+
+
+class HistoryNet:
+    """`loss`, `twice`: parts of the messages; `never`: parts of the claims whose run is given up unsent."""
+
+    def __init__(
+        self, seed: int, count: int, book: Book, loss: float = 0.0, twice: float = 0.0, never: float = 0.0
+    ) -> None:
+        self.chance, self.now = random.Random(seed), EPOCH
+        self.loss, self.twice, self.never, self.book = loss, twice, never, book
+        self.names = [f"n{n}" for n in range(count)]
+        self.keepers: dict[str, Keeper] = {}
+        self.lives: dict[str, int] = {}
+        self.stopped: dict[str, list] = {}  # who stands still, and what came meanwhile
+        self.offset: dict[str, Time] = defaultdict(int)  # of its clock
+        self.cuts: set[tuple[str, str]] = set()  # one way
+        self.seen: dict[str, dict[str, int]] = {n: {} for n in self.names}
+        self.changes: list[tuple[Time, int, str, str]] = []
+        self.line: list = []
+        self.order = 0
+        self.open: dict[tuple[str, int, int], tuple[str, str, Time]] = {}  # claims: token, key, asked
+        self.runs: dict[str, list[tuple[Time, Time]]] = defaultdict(list)  # what engines saw of a token
+        self.keys: dict[str, list[tuple[Time, Time]]] = defaultdict(list)  # and of a key
+        self.said: Counter[str] = Counter()
+        self.rule: Counter[str] = Counter()  # broken
+        self.finished: dict[str, Time] = {}
+        self.endings: list[tuple[Time, int, tuple[str, int, int], str]] = []  # of runs that engines have
+        self.forgotten: list[tuple[Time, Time | None]] = []  # before when; since when none may answer from it
+        self.waited: list[Time] = []
+        for name in self.names:
+            self.start(name)
+
+    # ---- routers ----------------------------------------------------------------------------------
+
+    def clock(self, name: str) -> Time:
+        return self.now + self.offset[name]
+
+    def start(self, name: str) -> None:
+        life = self.clock(name) // 10
+        self.lives[name] = max(life, self.lives.get(name, 0) + 1)
+        self.seen[name] = {}
+
+        def living() -> dict[str, int]:
+            return {**self.seen[name], name: self.lives[name]}
+
+        now = self.clock(name)
+        self.keepers[name] = Keeper(name, self.lives[name], self.names, self.book, now, living)
+        self.notice()
+
+    def kill(self, name: str) -> None:
+        self.keepers.pop(name, None)
+        self.stopped.pop(name, None)
+        self.open = {claim: about for claim, about in self.open.items() if claim[0] != name}
+        self.notice()
+
+    def stop(self, name: str) -> None:
+        if name in self.keepers:
+            self.stopped.setdefault(name, [])
+            self.notice()
+
+    def go_on(self, name: str) -> None:
+        for sender, data in self.stopped.pop(name, ()):
+            self.arrive(sender, name, data)
+        self.notice()
+
+    def cut(self, some: list[str], others: list[str], both: bool = True) -> None:
+        self.cuts |= {(a, b) for a in some for b in others if a != b}
+        if both:
+            self.cuts |= {(b, a) for a in some for b in others if a != b}
+        self.notice()
+
+    def mend(self) -> None:
+        self.cuts.clear()
+        self.notice()
+
+    def notice(self) -> None:
+        """Each will know of each as it is, a while later."""
+        for name in self.names:
+            for other in self.names:
+                if name != other:
+                    self.order += 1
+                    at = self.now + self.chance.randint(*NOTICED)
+                    heappush(self.changes, (at, self.order, name, other))
+
+    def look(self, name: str, other: str) -> None:
+        lives = other in self.keepers and other not in self.stopped
+        if lives and not {(name, other), (other, name)} & self.cuts:
+            self.seen[name][other] = self.lives[other]
+        else:
+            self.seen[name].pop(other, None)
+
+    # ---- the network ------------------------------------------------------------------------------
+
+    def post(self, name: str) -> None:
+        keeper = self.keepers.get(name)
+        if keeper is None:
+            return
+        out, keeper.out = keeper.out, []
+        for to, message in out:
+            for _ in range(1 + (self.chance.random() < self.twice)):
+                if self.chance.random() >= self.loss and (name, to) not in self.cuts:
+                    self.order += 1
+                    at = self.now + self.chance.randint(*DELAY)
+                    heappush(self.line, (at, self.order, name, to, encode(message)))
+        self.judged(name, keeper)
+
+    def arrive(self, sender: str, to: str, data: bytes) -> None:
+        if to in self.stopped:
+            self.stopped[to].append((sender, data))
+        elif to in self.keepers:
+            self.keepers[to].receive(self.clock(to), sender, decode(data, sender))
+            self.post(to)
+
+    def play(self, seconds: float) -> None:
+        end = self.now + int(seconds * SECOND)
+        while self.now < end:
+            self.now += STEP
+            while self.changes and self.changes[0][0] <= self.now:
+                _, _, name, other = heappop(self.changes)
+                self.look(name, other)
+            while self.line and self.line[0][0] <= self.now:
+                _, _, sender, to, data = heappop(self.line)
+                self.arrive(sender, to, data)
+            for name in list(self.keepers):
+                if name not in self.stopped:
+                    self.keepers[name].tick(self.clock(name))
+                    self.post(name)
+
+    # ---- clients and engines ----------------------------------------------------------------------
+
+    def ask(self, name: str, token: str, key: str, patience: Time = PATIENCE) -> None:
+        keeper = self.keepers.get(name)
+        if keeper is None or name in self.stopped:
+            self.said["nobody there"] += 1
+            return
+        due = self.clock(name) + patience
+        number = keeper.claim(self.clock(name), "", key, token, due, True)
+        self.open[name, self.lives[name], number] = token, key, self.now
+        self.post(name)
+
+    def judged(self, name: str, keeper: Keeper) -> None:
+        verdicts, keeper.verdicts = keeper.verdicts, []
+        for number, verdict, why, rows in verdicts:
+            claim = name, self.lives[name], number
+            if claim not in self.open:
+                self.rule["answered twice"] += 1
+                continue
+            token, key, asked = self.open[claim]
+            self.said[f"{verdict.name}: {why}"] += 1
+            self.said[verdict.name] += 1
+            self.waited.append(self.now - asked)
+            if verdict is not Verdict.RUN:
+                del self.open[claim]
+            if verdict is Verdict.ANSWER and rows != f"rows of {token}".encode():
+                self.rule["wrong answer"] += 1
+            if verdict is Verdict.ANSWER and self.too_late(token):
+                self.rule["kept too long"] += 1
+            if verdict is Verdict.RUN:
+                self.run(claim, token, key)
+
+    def run(self, claim: tuple[str, int, int], token: str, key: str) -> None:
+        """The engine runs it, whatever becomes of the router; its answer finds the router, or does not."""
+        if self.chance.random() < self.never:
+            self.ended(claim, FREED)
+            return
+        if self.runs[token] and self.bound(self.runs[token][-1][0]):
+            self.rule["ran twice"] += 1
+        took = self.chance.randint(300, 1 * SECOND)
+        span = self.now, self.now + took
+        if any(begin < span[1] and span[0] < end for begin, end in self.keys[key]):
+            self.rule["out of order"] += 1
+        self.runs[token].append(span)
+        self.keys[key].append(span)
+        self.order += 1
+        heappush(self.endings, (span[1], self.order, claim, token))
+
+    def ends(self) -> None:
+        """Runs that are over by now, where their routers are there to hear it."""
+        again = []
+        while self.endings and self.endings[0][0] <= self.now:
+            _, order, claim, token = heappop(self.endings)
+            if claim[0] in self.stopped and self.lives[claim[0]] == claim[1]:
+                again.append((self.now + STEP, order, claim, token))
+            elif claim in self.open:
+                how = KILLED if self.chance.random() < 0.05 else FINISHED
+                self.ended(claim, how, f"rows of {token}".encode() if how == FINISHED else None)
+                if how == FINISHED:
+                    self.finished[token] = self.now
+        for ending in again:
+            heappush(self.endings, ending)
+
+    def ended(self, claim: tuple[str, int, int], state: int, rows: bytes | None = None) -> None:
+        name, _, number = claim
+        self.open.pop(claim, None)
+        self.keepers[name].ended(self.clock(name), number, state, rows)
+        self.post(name)
+
+    def bound(self, ran: Time) -> bool:
+        """Whether what ran then must not run again: within its keep time, and not forgotten since."""
+        kept = self.now - ran < self.book.default.least_ms * MS
+        return kept and not any(ran < before for before, _ in self.forgotten)
+
+    def too_late(self, token: str) -> bool:
+        """Whether its answer was to be forgotten, and most routers have known that for a lease's time."""
+        return any(
+            since is not None and self.now > since + LEASE and self.runs[token][0][0] < before
+            for before, since in self.forgotten
+        )
+
+    def forget(self, name: str) -> None:
+        """The operator wants all forgotten that was taken until now, and tells one router."""
+        self.book = msgspec.structs.replace(
+            self.book, number=self.book.number + 1, forgets=(*self.book.forgets, Forget(self.now))
+        )
+        self.forgotten.append((self.now, None))
+        self.keepers[name].apply(self.clock(name), self.book)
+        self.post(name)
+
+    def known(self) -> None:
+        """Since when most of the named know of the last book."""
+        most = sum(k.book.number >= self.book.number for k in self.keepers.values()) > len(self.names) // 2
+        if self.forgotten and self.forgotten[-1][1] is None and most:
+            self.forgotten[-1] = self.forgotten[-1][0], self.now
+
+    # ---- what is looked at beside -----------------------------------------------------------------
+
+    def held(self, token: str) -> list[str]:
+        """Who has a record of a token: the one place that looks into holders, for erasing is about them."""
+        return [n for n, k in self.keepers.items() if any(x.record.token == token for x in k.shelf.all())]
+
+    def settled(self, most: float = 30) -> bool:
+        """Plays until every router is in a view in force with all of its slots there."""
+        since = self.now
+        while self.now - since < most * SECOND:
+            self.advance(0.5)
+            keepers = [k for n, k in self.keepers.items() if n not in self.stopped]
+            fine = all(k.views.in_force(k.now) and not k.wanting and not k.behind for k in keepers)
+            if fine and len({k.views.view.id for k in keepers}) == 1:
+                members = {n: self.lives[n] for n in self.keepers if n not in self.stopped}
+                if keepers[0].views.view.members == members:
+                    return True
+        return False
+
+    def advance(self, seconds: float) -> None:
+        end = self.now + int(seconds * SECOND)
+        while self.now < end:
+            self.play(STEP / SECOND)
+            self.ends()
+            self.known()
+
+
+def founded(**about: object) -> Book:
+    """A book of a fleet that begins now."""
+    return Book(number=1, founded=EPOCH // MS * MS, **about)
+
+
+def storm(net: HistoryNet, seed: int, seconds: float, forgets: bool = False) -> bool:
+    """Deaths, restarts, cuts one way and both, processes that stand still, resends; then all is mended.
+    Whether it all came to rest."""
+    chance, tokens = random.Random(seed), []
+    quiet, end = net.now, net.now + int(seconds * SECOND)
+    while net.now < end:
+        for _ in range(chance.randint(0, 4)):
+            if not tokens or chance.random() >= 0.4:
+                tokens.append((f"t{len(tokens)}", f"k{chance.randint(0, 20)}"))
+                net.ask(chance.choice(net.names), *tokens[-1])
+            else:
+                net.ask(chance.choice(net.names), *chance.choice(tokens[-30:]))
+        if net.now >= quiet:
+            strike(net, chance, forgets)
+            quiet = net.now + chance.choice([0, 0, 2, 6, 12]) * SECOND
+        net.advance(chance.choice([0.1, 0.2, 0.5]))
+    net.mend()
+    for name in net.names:
+        if name in net.stopped:
+            net.go_on(name)
+        if name not in net.keepers:
+            net.start(name)
+    return net.settled(60)
+
+
+def strike(net: HistoryNet, chance: random.Random, forgets: bool) -> None:
+    what, names = chance.random(), chance.sample(net.names, len(net.names))
+    if what < 0.25:
+        for name in names[: chance.choice([1] * 9 + [2, 4])]:
+            net.kill(name)
+    elif what < 0.5:
+        for name in names:
+            if name not in net.keepers:
+                net.start(name)
+    elif what < 0.6:
+        half = chance.randint(1, len(names) - 1)
+        net.cut(names[:half], names[half:], both=chance.random() < 0.7)
+    elif what < 0.75:
+        net.mend()
+    elif what < 0.82:
+        net.stop(names[0])
+    elif what < 0.92:
+        for name in list(net.stopped):
+            net.go_on(name)
+    elif forgets and names[0] in net.keepers and names[0] not in net.stopped:
+        net.forget(names[0])
+
+
+__all__ = ["EPOCH", "LEASE", "SECOND", "HistoryNet", "founded", "storm"]
--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,527 @@
+"""The answer history: what policies allow, who holds what, and that no fault runs a query twice."""
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hillchute.errors import DatagramDropped
+from hillchute.history import codec, slots
+from hillchute.history.keeper import Keeper
+from hillchute.history.policy import MS, Book, Forget, Policy, unfit
+from hillchute.history.records import FINISHED, FREED, KILLED, OUT, Kept, Record, Shelf
+from hillchute.history.verdict import STILL_OUT, Verdict, judge
+from hillchute.history.views import DRIFT, LEASE, NONE, STEADY, View, Views, most_of
+from hillchute.lab.history_net import EPOCH, SECOND, HistoryNet, founded, storm
+
+KEEPS = Policy(rows=True, least_ms=20_000, most_ms=60_000)
+
+
+def record(token="t", state=FINISHED, attempt=1, taken=EPOCH, key="k", customer="", rows=b"rows", **about):
+    whose = {"owner": "n0", "life": 1, "claim": 1, "patience": SECOND} | about
+    return Record(customer, key, token, taken, 1, attempt, state=state, rows=rows, **whose)
+
+
+# ---- what policies allow ----
+
+
+def test_hold_goes_before_forget_and_age_but_nothing_old_is_answered():
+    forgets = (Forget(EPOCH + 1),)
+    book = Book(default=KEEPS, forgets=forgets)
+    held = Book(default=msgspec.structs.replace(KEEPS, hold=True), forgets=forgets)
+    assert book.erased("", "k", EPOCH, 0) and not held.erased("", "k", EPOCH, 0)
+    assert not book.erased("", "k", EPOCH + 1, 0)
+    old = KEEPS.most_ms * MS + 1
+    assert book.erased("", "k", EPOCH + 1, old) and not held.erased("", "k", EPOCH + 1, old)
+    assert not held.answers("", "k", EPOCH + 1, old)
+    assert held.answers("", "k", EPOCH, 0)  # the forget waits until the hold ends
+
+
+def test_forget_names_a_customer_or_one_of_its_keys():
+    book = Book(forgets=(Forget(EPOCH, "a"), Forget(EPOCH, "b", "k")))
+    told = [book.forgotten(c, k, EPOCH - 1) for c, k in (("a", "x"), ("b", "k"), ("b", "x"), ("", "k"))]
+    assert told == [True, True, False, False]
+
+
+@pytest.mark.parametrize(
+    ("book", "field"),
+    [
+        (Book(default=Policy(least_ms=10_000, most_ms=5_000)), "default.least_ms"),
+        (Book(customers={"a": Policy(lost="perhaps")}), "a.lost"),
+        (Book(copies=9), "copies"),
+        (Book(erase_ms=1), "erase_ms"),
+        (Book(forgets=(Forget(-1),)), "forget"),
+        (Book(number=-1), "number"),
+    ],
+)
+def test_book_that_nobody_could_honour_names_the_field(book, field):
+    assert unfit(book) == field
+    assert unfit(Book()) == ""
+
+
+def verdict(kept=None, before=None, lost_for=None, lives=True, mine=False, room=True, age=0, **policy):
+    book = Book(default=Policy(rows=True, **policy))
+    kept = kept and Kept(kept, EPOCH - age)
+    return judge(book, "", kept, before, EPOCH, lost_for, lives, mine, room)[0]
+
+
+def test_verdict_on_each_thing_known():
+    out = record(state=OUT, rows=None)
+    assert verdict() is Verdict.RUN
+    assert verdict(record()) is Verdict.ANSWER
+    assert verdict(record(), replay=False) is Verdict.KILL
+    assert verdict(record(rows=None)) is Verdict.KILL
+    assert verdict(record(state=KILLED)) is Verdict.KILL
+    assert verdict(record(state=FREED)) is Verdict.RUN
+    assert verdict(record(), age=3_600_001 * MS) is Verdict.KILL  # nothing is run that is known to have run
+    assert verdict(out) is Verdict.WAIT
+    assert verdict(out, mine=True) is Verdict.RUN
+    assert verdict(out, lives=False) is Verdict.DEFER
+    assert verdict(out, lives=False, age=out.patience + STILL_OUT + 1) is Verdict.KILL
+    assert verdict(before=Kept(out, EPOCH)) is Verdict.WAIT
+    assert verdict(room=False) is Verdict.DEFER
+    assert verdict(lost_for=0) is Verdict.DEFER
+    assert verdict(lost_for=0, lost="run") is Verdict.RUN
+    assert verdict(lost_for=600_000 * MS) is Verdict.RUN
+    assert verdict(record(), lost_for=0) is Verdict.ANSWER
+
+
+# ---- what one holder has ----
+
+versions = st.builds(
+    record,
+    token=st.sampled_from("ab"),
+    state=st.sampled_from((OUT, FREED, FINISHED, KILLED)),
+    attempt=st.integers(1, 3),
+    rows=st.just(None),
+)
+
+
+@given(st.lists(versions, max_size=12), st.randoms(use_true_random=False))
+def test_versions_become_one_whatever_their_order_and_number(some, chance):
+    shelves = Shelf(), Shelf()
+    again = some + some[:3]
+    chance.shuffle(again)
+    for shelf, line in zip(shelves, (some, again), strict=True):
+        for one in line:
+            shelf.put(one, EPOCH, 0, Book())
+    first, second = ({k.record.token: k.record for k in shelf.all()} for shelf in shelves)
+    assert first == second
+    assert shelves[0].bytes == sum(r.size for r in first.values())
+    assert shelves[0].of.total() == len(first)
+
+
+def test_late_copy_does_not_bring_back_what_was_forgotten():
+    shelf, book = Shelf(), Book(default=KEEPS, forgets=(Forget(EPOCH + 1),))
+    assert shelf.put(record(), EPOCH, 0, Book(default=KEEPS))
+    assert shelf.sweep(EPOCH, book) == 1
+    assert not shelf.put(record(), EPOCH, 0, book)
+    assert not list(shelf.all())
+
+
+def test_run_that_is_out_is_forgotten_when_it_ends():
+    shelf, book = Shelf(), Book(default=KEEPS, forgets=(Forget(EPOCH + 1),))
+    shelf.put(record(state=OUT, rows=None), EPOCH, 0, book)
+    assert shelf.sweep(EPOCH, book) == 0 and len(list(shelf.all())) == 1
+    assert not shelf.put(record(), EPOCH, 0, book)
+    assert not list(shelf.all()) and shelf.bytes == 0
+
+
+def test_rows_go_where_the_ending_alone_is_kept():
+    shelf = Shelf()
+    shelf.put(record(), EPOCH, 0, Book(default=KEEPS))
+    assert shelf.sweep(EPOCH, Book(default=Policy(rows=False))) == 1
+    assert [k.record.rows for k in shelf.all()] == [None]
+    assert shelf.bytes == sum(k.record.size for k in shelf.all())
+
+
+def test_flood_of_one_customer_pushes_out_nothing_within_a_least_time():
+    few = Policy(least_ms=20_000, most_ms=60_000, most=2, most_records=4)
+    shelf, book = Shelf(), Book(default=KEEPS, customers={"flood": few})
+    for n in range(3):
+        shelf.put(record(f"x{n}", key="x", customer="other"), EPOCH, 0, book)
+    taken = 0
+    for n in range(40):
+        if shelf.room("flood", f"k{n % 8}", EPOCH, book):
+            taken += shelf.put(record(f"t{n}", key=f"k{n % 8}", customer="flood"), EPOCH, 0, book)
+    assert taken == 4 and shelf.of["other"] == 3
+    later = EPOCH + 20_000 * MS + 1
+    assert shelf.room("flood", "k0", later, book)  # past its least time the oldest gives way
+    assert shelf.of["flood"] < 4 and shelf.of["other"] == 3
+
+
+# ---- who holds what ----
+
+
+def test_slots_are_spread_and_move_little():
+    names = [f"n{n}" for n in range(20)]
+    before = [slots.holders(s, names, 3) for s in range(slots.SLOTS)]
+    count = [sum(name in held for held in before) for name in names]
+    assert max(count) < 1.35 * min(count)
+    after = [slots.holders(s, names[1:], 3) for s in range(slots.SLOTS)]
+    for old, new in zip(before, after, strict=True):
+        assert len(set(new) - set(old)) == ("n0" in old)
+        assert [n for n in old if n != "n0"] == list(new[: len(old) - ("n0" in old)])
+
+
+# ---- views ----
+
+
+def test_router_that_restarted_promises_and_grants_nothing_for_two_leases():
+    views = Views("a", 2, ["a", "b", "c"], EPOCH)
+    assert views.take_up(View(5, "b", {"a": 2, "b": 1}))
+    soon, later = EPOCH + 2 * LEASE, int(EPOCH + 2 * LEASE * (1 + DRIFT)) + 1
+    assert not views.called(soon, (5, "b"), 0, 0).given
+    assert not views.ask(soon, (6, "b")).given
+    assert views.called(later, (5, "b"), 0, 0).given
+    assert views.ask(later, (6, "b")).given
+
+
+def test_what_was_promised_to_a_later_view_is_granted_to_no_earlier_one():
+    now = EPOCH + 3 * LEASE
+    views = Views("a", 1, ["a", "b", "c"], EPOCH)
+    views.take_up(View(5, "b", {"a": 1}))
+    assert views.called(now, (5, "b"), 0, 0).given
+    assert views.ask(now, (7, "c")).given
+    assert not views.called(now, (5, "b"), 0, 0).given
+    assert not views.ask(now, (6, "b")).given
+    assert not views.take_up(View(6, "b", {"a": 1}))
+    assert views.take_up(View(7, "c", {"a": 1}))
+
+
+def test_lease_is_counted_from_before_it_was_granted():
+    views = Views("a", 1, ["a", "b", "c"], EPOCH)
+    views.take_up(View(5, "b", {"a": 1}))
+    views.forced((5, "b"), EPOCH, LEASE // 2)
+    assert views.in_force(EPOCH + LEASE // 2 - 1) and not views.in_force(EPOCH + LEASE // 2)
+    views.forced((5, "b"), EPOCH, 100 * LEASE)
+    assert not views.in_force(EPOCH + LEASE)
+    views.forced((4, "b"), EPOCH + LEASE, LEASE)
+    assert not views.in_force(EPOCH + LEASE)
+
+
+def speaker(remember: int) -> tuple[Views, View, dict[str, int]]:
+    """One of five that has asked for a view, and been answered by three, so many of whom remember one."""
+    living = dict.fromkeys("abcde", 1)
+    views, now = Views("a", 1, living, EPOCH), EPOCH + 3 * LEASE
+    views.look(now, living)
+    assert views.look(now + STEADY, living) == "ask"
+    old = View(5, "e", living, 1)
+    for n, name in enumerate("abc"):
+        granter = Views(name, 1, living, EPOCH)
+        if n < remember:
+            granter.take_up(old)
+            granter.called(now, (5, "e"), 0, 0)
+        done = views.promised(now + STEADY, name, granter.ask(now + STEADY, views.asking), living, 2)
+        assert done == (n == 2)
+    return views, views.proposed, living
+
+
+def test_view_goes_on_from_the_last_only_where_most_remember():
+    _, view, living = speaker(3)
+    assert (view.before, view.were, view.had, view.copies) == ((5, "e"), living, 1, 2)
+    assert view.number > 5 and not view.first
+    _, view, _ = speaker(2)
+    assert view.before is None and not view.first
+    _, view, _ = speaker(0)
+    assert view.before is None and view.first
+
+
+def test_view_that_was_not_in_force_for_a_lease_is_dropped():
+    views, view, living = speaker(3)
+    now = views.proposed_at
+    for name in "abc":
+        granter = Views(name, 1, living, EPOCH)
+        granter.take_up(view)
+        views.answered(name, granter.called(now, view.id, now, 0))
+    assert 0 < views.rest(now) < LEASE and views.rest(now + LEASE) == 0
+    assert views.look(now + LEASE, living) == "call"
+    assert views.look(now + 2 * LEASE, living) == "ask" and views.proposed is None
+
+
+def test_fewer_than_half_never_speak():
+    living = {"a": 1, "b": 1}
+    views = Views("a", 1, "abcde", EPOCH)
+    assert views.look(EPOCH, living) == views.look(EPOCH + 9 * LEASE, living) == ""
+    assert most_of(5) == 3 and most_of(4) == 3 and NONE.id == (0, "")
+
+
+# ---- messages ----
+
+
+@settings(max_examples=300)
+@given(st.binary(max_size=200))
+def test_whatever_comes_is_read_or_dropped(data):
+    try:
+        codec.decode(data, "n1")
+    except DatagramDropped as fault:
+        assert fault.where == "n1"
+
+
+@pytest.mark.parametrize(
+    ("message", "field"),
+    [
+        (codec.Fetch((1, "n"), 1024, (1, "n")), "slot"),
+        (codec.Store((1, "n"), 1, record(state=9), 0), "state"),
+        (codec.Store((1, "n"), -1, record(), 0), "number"),
+        (codec.Store((1, "n" * 65), 1, record(), 0), "view"),
+        (codec.Store((1, "n"), 1, record(key="k" * 129), 0), "key"),
+        (codec.Data((1, "n"), 1, (record(),), (), None), "ages"),
+        (codec.Text(View(1, "n", {"": 1})), "members"),
+        (codec.BookIs(Book(copies=99)), "copies"),
+    ],
+)
+def test_field_out_of_bounds_is_named(message, field):
+    with pytest.raises(ValueError, match=field):
+        codec.encode(message)
+    with pytest.raises(DatagramDropped, match=field):
+        codec.decode(codec.encoder.encode(message), "n1")
+
+
+# ---- several holders ----
+
+
+def net_of(count=5, copies=1, seed=1, policy=KEEPS, **faults) -> HistoryNet:
+    net = HistoryNet(seed, count, founded(copies=copies, default=policy), **faults)
+    assert net.settled()
+    return net
+
+
+def key_held_by(net: HistoryNet, name: str) -> str:
+    """A key whose first holder is this router."""
+    (members,) = {tuple(k.views.view.members) for k in net.keepers.values()}
+    keys = (f"k{n}" for n in range(10_000))
+    return next(k for k in keys if slots.holders(slots.slot_of("", k), members, 1) == (name,))
+
+
+def asked(net: HistoryNet, name: str, token: str, key: str) -> str:
+    """What becomes of a query that arrives there."""
+    before = net.said.copy()
+    net.ask(name, token, key)
+    net.advance(5)
+    (said,) = [v.name for v in Verdict if net.said[v.name] > before[v.name]] or ["NONE"]
+    return said
+
+
+def test_resend_is_answered_on_whichever_router_it_arrives():
+    net = net_of(loss=0.05, twice=0.05)
+    assert asked(net, "n0", "t", "k") == "RUN"
+    assert [asked(net, name, "t", "k") for name in net.names] == ["ANSWER"] * 5
+    assert len(net.runs["t"]) == 1 and not net.rule
+
+
+def test_record_outlives_its_first_holder_and_is_copied_again():
+    net = net_of(copies=1)
+    key = key_held_by(net, "n2")
+    assert asked(net, "n0", "t", key) == "RUN"
+    for name in ("n2", "n4"):
+        first = net.held("t")
+        net.kill(first[0])
+        assert net.settled()
+        assert len(net.held("t")) == 2, name
+    assert asked(net, next(iter(net.keepers)), "t", key) == "ANSWER"
+    assert not net.rule
+
+
+def test_query_whose_holders_all_died_is_deferred_until_its_least_time_is_over():
+    net = net_of(copies=0)
+    key = key_held_by(net, "n2")
+    assert asked(net, "n0", "t", key) == "RUN"
+    net.kill("n2")
+    assert net.settled()
+    assert asked(net, "n0", "t", key) == "DEFER"
+    net.advance(30)
+    assert asked(net, "n0", "t", key) == "RUN"  # twenty seconds: the policy's least time
+    assert not net.rule
+
+
+def test_run_whose_router_died_runs_nowhere_else():
+    net = net_of(copies=1, policy=msgspec.structs.replace(KEEPS, least_ms=90_000, most_ms=900_000))
+    net.ask("n4", "t", key_held_by(net, "n0"))
+    while not net.runs["t"]:
+        net.advance(0.05)
+    net.kill("n4")
+    key = next(about for about in net.keys)
+    assert asked(net, "n1", "t", key) == "DEFER"
+    net.advance(STILL_OUT / SECOND + 10)
+    assert asked(net, "n1", "t", key) == "KILL"
+    assert len(net.runs["t"]) == 1
+
+
+def test_side_of_a_cut_with_fewer_than_half_neither_answers_nor_runs():
+    net = net_of(copies=0, policy=msgspec.structs.replace(KEEPS, least_ms=5_000))
+    key = key_held_by(net, "n4")
+    assert asked(net, "n4", "t", key) == "RUN"
+    net.cut(["n3", "n4"], ["n0", "n1", "n2"])
+    net.advance(20)
+    assert asked(net, "n4", "t", key) == "DEFER"
+    assert asked(net, "n0", "new", key) == "RUN"  # its least time is over for what may have been lost
+    assert asked(net, "n4", "new", key) == "DEFER"
+    net.mend()
+    assert net.settled()
+    assert asked(net, "n4", "new", key) == "ANSWER"
+    assert not net.rule
+
+
+def test_record_that_has_not_reached_every_holder_starts_nothing():
+    net = net_of(copies=1)
+    key = key_held_by(net, "n2")
+    second = slots.holders(slots.slot_of("", key), net.names, 2)[1]
+    net.cuts |= {("n2", second), (second, "n2")}  # nobody has noticed yet
+    net.ask("n2", "t", key)
+    net.advance(0.8)
+    assert not net.runs["t"]
+    net.kill("n2")
+    net.mend()
+    assert net.settled()
+    net.ask("n0", "t", key)
+    net.advance(5)
+    assert len(net.runs["t"]) == 1 and not net.rule
+
+
+def test_most_restarting_at_once_lose_what_they_had_and_say_so():
+    """The one that lived on has an older history of the slot; nobody else remembers that it is older."""
+    net = net_of(copies=0)
+    key = key_held_by(net, "n4")
+    net.cut(["n4"], ["n0", "n1", "n2", "n3"])
+    net.advance(15)
+    net.advance(25)  # past the least time of what n4 may have had
+    assert asked(net, "n0", "t", key) == "RUN"
+    for name in ("n0", "n1", "n2", "n3"):
+        net.kill(name)
+    net.mend()
+    for name in ("n0", "n1", "n2", "n3"):
+        net.start(name)
+    assert net.settled()
+    assert asked(net, "n0", "t", key) == "DEFER"
+    assert not net.rule
+
+
+def test_key_keeps_the_order_of_its_history_over_routers():
+    net = net_of(copies=1, never=0.2)
+    for n in range(12):
+        net.ask(net.names[n % 5], f"t{n}", "k")
+    net.advance(8)
+    assert net.said["RUN"] >= 4 and not net.rule
+    places = (
+        sorted(k.record.place for k in net.keepers[net.held("t0")[0]].shelf.all()) if net.held("t0") else []
+    )
+    assert len(places) == len(set(places))
+
+
+def test_forget_holds_over_a_cut_and_a_return():
+    net = net_of(copies=2)
+    assert asked(net, "n0", "t", "k") == "RUN"
+    holders = net.held("t")
+    assert len(holders) == 3
+    away = holders[-1]
+    net.cut([away], [n for n in net.names if n != away])
+    net.advance(5)
+    net.forget(next(n for n in holders if n != away))
+    net.advance(LEASE / SECOND + 3)
+    assert net.held("t") == [away]  # it can't know; it answers nothing either
+    assert asked(net, away, "t", "k") == "DEFER"
+    net.mend()
+    assert net.settled()
+    assert net.held("t") == []
+    assert asked(net, away, "t", "k") == "RUN"
+    assert not net.rule
+
+
+def test_hold_keeps_what_a_forget_names_until_it_ends():
+    held = msgspec.structs.replace(KEEPS, hold=True)
+    net = net_of(copies=1, policy=held)
+    assert asked(net, "n0", "t", "k") == "RUN"
+    net.forget("n1")
+    net.advance(5)
+    assert len(net.held("t")) == 2
+    net.book = msgspec.structs.replace(net.book, number=9, default=KEEPS)
+    net.keepers["n1"].apply(net.clock("n1"), net.book)
+    net.advance(5)
+    assert net.held("t") == []
+
+
+def test_holder_that_has_not_the_last_policies_answers_nothing_and_is_named():
+    net = net_of(copies=0)
+    key = key_held_by(net, "n2")
+    assert asked(net, "n0", "t", key) == "RUN"
+    keeper = net.keepers["n2"]
+    keeper.apply = lambda now, book: False  # it does not take the new one up
+    net.forget("n0")
+    net.advance(5)
+    assert asked(net, "n0", "t", key) == "DEFER"
+    (late,) = net.keepers["n0"].not_applied()
+    assert late.where == "n2" and "policies 1, not 2" in str(late)
+
+
+def test_paused_holder_does_not_answer_from_a_lease_that_is_over():
+    net = net_of(copies=0, policy=msgspec.structs.replace(KEEPS, least_ms=5_000))
+    key = key_held_by(net, "n2")
+    net.stop("n2")
+    net.advance(20)
+    assert asked(net, "n0", "t", key) == "RUN"
+    net.go_on("n2")
+    net.ask("n2", "t", key)
+    net.advance(0.3)
+    assert len(net.runs["t"]) == 1
+    net.advance(5)
+    assert not net.rule
+
+
+def test_clocks_apart_change_no_keep_time():
+    net = HistoryNet(4, 5, founded(copies=1, default=KEEPS))
+    for n, name in enumerate(net.names):
+        net.offset[name] = n * 20 * SECOND
+        net.kill(name)
+        net.start(name)
+    assert net.settled(60)
+    assert asked(net, "n0", "t", "k") == "RUN"
+    net.kill(net.held("t")[0])
+    assert net.settled()
+    assert asked(net, next(iter(net.keepers)), "t", "k") == "ANSWER"
+    net.advance(KEEPS.most_ms / 1000 + 1)
+    assert net.held("t") == []
+
+
+def test_router_that_leaves_hands_over_what_it_alone_has():
+    net = net_of(copies=0)
+    key = key_held_by(net, "n2")
+    assert asked(net, "n0", "t", key) == "RUN"
+    keeper = net.keepers["n2"]
+    assert not keeper.handed_over
+    for name in net.names:  # it says farewell: no other counts it as living, and it still answers
+        net.seen[name].pop("n2", None)
+    net.advance(10)
+    assert keeper.handed_over
+    net.kill("n2")
+    assert net.settled()
+    assert asked(net, "n0", "t", key) == "ANSWER"
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_storm_breaks_no_rule(seed):
+    policy = msgspec.structs.replace(KEEPS, least_ms=8_000)
+    net = net_of(6, seed % 3, seed, policy, loss=0.05, twice=0.05, never=0.05)
+    assert storm(net, seed, 90, forgets=seed % 2 == 0)
+    assert net.said["RUN"] > 30 and net.said["ANSWER"] > 10
+    assert not net.rule
+
+
+def test_messages_of_a_router_that_knows_no_view_harm_nobody():
+    keeper = Keeper("a", 1, ["a", "b", "c"], Book(), EPOCH, lambda: {"a": 1})
+    claim = codec.Claim((1, "b"), 1, 1, "", "k", "t", SECOND, False)
+    for message in (
+        claim,
+        codec.End((1, "b"), record(owner="b")),
+        codec.Store((1, "b"), 1, record(), 0),
+        codec.Stored((1, "b"), 1, True),
+        codec.Fetch((1, "b"), 3, (1, "b")),
+        codec.Data((1, "b"), 3, (record(),), (0,), None),
+        codec.Elsewhere((1, "b"), 3, (1, "b"), {}),
+        codec.Ended(1, 1),
+        codec.Judged(1, 1, 0, "new", record()),
+        codec.Call((1, "b"), 0, 0, 0, 7),
+    ):
+        keeper.receive(EPOCH, "b", message)
+    assert not list(keeper.shelf.all())
+    assert [type(m) for _, m in keeper.out if isinstance(m, codec.Judged)] == [codec.Judged]
