--- a/hillchute/history/keeper.py
+++ b/hillchute/history/keeper.py
@@ -539,6 +539,8 @@
             return
         if mine.record is not None or mine.end is not None:
             return
+        if verdict is Verdict.ANSWER and not self.answers_hold(word.record):
+            return
         if verdict is Verdict.WAIT or verdict is Verdict.DEFER:
             mine.sent = self.now  # asked again until it is due
             return
@@ -553,6 +555,12 @@
             del self.mine[word.number]
         self.verdicts.append((word.number, verdict, word.why, rows))
 
+    def answers_hold(self, record: Record | None) -> bool:
+        """Guards against an answer that waited in a process that stood still until it was forbidden."""
+        current = self.views.in_force(self.now) and self.book.number >= self.told
+        known = record is not None and not self.book.forgotten(record.customer, record.key, record.taken)
+        return current and known
+
     # ---- the book -------------------------------------------------------------------------------------
 
     def apply(self, now: Time, book: Book) -> bool:
