The answer history runs: keyed queries wait for its word, messages of any length, a disk

Operator file `history` (numbered policies, customers, forget, founding, disk); the reducer asks for a claim before a keyed query goes to the module, and tells how it ended; messages over the peers' link in marked pieces, in one datagram or on a stream; sqlite3 with WAL, FULL and secure_delete for policies that want the disk.

Off without `history`.

--- a/hillchute/errors.py
+++ b/hillchute/errors.py
@@ -47,3 +47,19 @@
         "see that the router is reached by the others (`peers`); until it has applied them it answers"
         " nothing from the history"
     )
+
+
+class BookNotTaken(HillchuteError):
+    """Policies of the answer history that are not later than those which hold; `where` is the field."""
+
+    remedy = "raise `history.number` above the number that holds, then send SIGHUP"
+
+
+class DiskNotUsable(HillchuteError):
+    """The answer history's disk can't be written or read; `where` is the file. Queries whose policy wants the
+    disk are deferred; what it holds is answered from again once it is mended."""
+
+    remedy = (
+        "see that `history.disk` names a file in a folder that the router may write to, with room; move a"
+        " damaged file away and restart the router: others bring back what they hold"
+    )
--- a/hillchute/lab/clients.py
+++ b/hillchute/lab/clients.py
@@ -37,6 +37,7 @@
     leaves: float | None = None  # seconds after which its client gives up
     weight: float = 20.0  # milliseconds of work, as estimated
     id: str = field(default_factory=lambda: secrets.token_hex(8))
+    router: str = ""  # where it was sent
     sent: float = 0.0
     answered: list[tuple[float, str]] = field(default_factory=list)
     rows: int = 0
--- a/hillchute/operator/reading.py
+++ b/hillchute/operator/reading.py
@@ -37,6 +37,8 @@
             raise BadRecord(f"{name}: {here}: expected one of password, password_file, token, token_file")
     if settings.get("peers"):
         hold_peers(settings["peers"], name)
+    if settings.get("history"):
+        hold_history(settings, name)
     return settings
 
 
@@ -59,6 +61,22 @@
             raise BadRecord(f"{here}: expected a key of {KEY_LEAST} characters or more")
 
 
+def hold_history(settings: dict[str, object], name: str) -> None:
+    """Its holders are the peers; customers are told apart; every policy can be honoured."""
+    history = settings["history"]
+    if not settings.get("peers"):
+        raise BadRecord(f"{name}: history: expected `peers`, which hold it together")
+    names = [customer["name"] for customer in history["customers"]]
+    for n, customer in enumerate(names):
+        if customer in names[:n]:
+            raise BadRecord(f"{name}: history.customers[{n}].name: {customer} stands twice")
+    policies = [("default", history["default"])]
+    policies += [(f"customers[{n}]", customer) for n, customer in enumerate(history["customers"])]
+    for where, policy in policies:
+        if policy["least_ms"] > policy["most_ms"]:
+            raise BadRecord(f"{name}: history: {where}.least_ms: expected at most {where}.most_ms")
+
+
 def defaults() -> dict[str, object]:
     """What holds where there is no operator file."""
     return hold("", "no file")
--- a/hillchute/operator/schema.cue
+++ b/hillchute/operator/schema.cue
@@ -12,6 +12,9 @@
 // The other routers of the fleet, with which this one shares what it sees.
 peers?: #Peers
 
+// The keyed queries' answer history, kept by the routers together; needs `peers`.
+history?: #History
+
 #Flight: {
 	// Where Flight SQL clients connect.
 	listen: string & =~"^(\\[[0-9a-fA-F:]+\\]|[^:\\[\\]]+):[0-9]+$"
@@ -71,6 +74,81 @@
 	key_file?: string
 }
 
+#History: {
+	// The number of these policies: they hold where it is higher than what held before.
+	number: int & >=1 & <=1000000000
+	// Routers that hold a record beside the first.
+	copies: int & >=0 & <=8 | *2
+	// Within this what is forbidden is gone from every living holder, in milliseconds.
+	erase_ms: int & >=100 & <=3600000 | *2000
+	// When the history began, in Unix milliseconds: what nobody holds until a minute after, nobody has had.
+	founded_ms: int & >=0 & <=100000000000000 | *0
+	// The file that keeps records over a restart; without it they are in memory alone.
+	disk?: string
+	// The policy of all customers that have none of their own.
+	default: #Keep
+	// Customers with a policy of their own.
+	customers: [...#Customer]
+	// What is to be forgotten; leave it here as long as copies of it may come back.
+	forget: [...#Forget]
+}
+
+#Keep: {
+	// Nothing is forgotten before, in milliseconds.
+	least_ms: int & >=1000 & <=31622400000 | *600000
+	// Nothing is answered or kept beyond, in milliseconds.
+	most_ms: int & >=1000 & <=31622400000 | *3600000
+	// Queries of one key.
+	most: int & >=1 & <=1048576 | *256
+	// Bytes of one key, rows included.
+	most_bytes: int & >=1 & <=1073741824 | *1048576
+	// Queries of the customer that one router holds.
+	most_records: int & >=1 & <=16777216 | *100000
+	// Whether the rows are kept with the ending.
+	rows: bool | *false
+	// Whether a resend is answered from the history.
+	replay: bool | *true
+	// Whether nothing at all is forgotten.
+	hold: bool | *false
+	// Whether a record is on the disk, too, before its first submission leaves.
+	disk: bool | *false
+	// What a query gets whose record may be lost with all its holders.
+	lost: *"defer" | "run"
+}
+
+#Customer: {
+	name: string & =~"^.{1,128}$"
+	// Nothing is forgotten before, in milliseconds.
+	least_ms: int & >=1000 & <=31622400000 | *600000
+	// Nothing is answered or kept beyond, in milliseconds.
+	most_ms: int & >=1000 & <=31622400000 | *3600000
+	// Queries of one key.
+	most: int & >=1 & <=1048576 | *256
+	// Bytes of one key, rows included.
+	most_bytes: int & >=1 & <=1073741824 | *1048576
+	// Queries of the customer that one router holds.
+	most_records: int & >=1 & <=16777216 | *100000
+	// Whether the rows are kept with the ending.
+	rows: bool | *false
+	// Whether a resend is answered from the history.
+	replay: bool | *true
+	// Whether nothing at all is forgotten.
+	hold: bool | *false
+	// Whether a record is on the disk, too, before its first submission leaves.
+	disk: bool | *false
+	// What a query gets whose record may be lost with all its holders.
+	lost: *"defer" | "run"
+}
+
+#Forget: {
+	// All that was taken before, in Unix milliseconds.
+	before_ms: int & >=0 & <=100000000000000
+	// Of this customer; "" where the settings name none.
+	customer: string | *""
+	// Of this key alone.
+	key?: string
+}
+
 #Engines: {
 	// The protocol that all sql engines speak.
 	protocol: *"line" | "flight"
--- a/hillchute/peers/codec.py
+++ b/hillchute/peers/codec.py
@@ -19,6 +19,7 @@
 VERSION = 1
 MARK = 16  # bytes of the mark
 MOST = 1200  # bytes of a datagram: passes every path whole, where one in parts is lost with any part
+MOST_ON_STREAM = 65_535  # bytes of one on a stream, where nothing is lost in parts
 RUMOURS = 24  # rumours in a datagram at the most
 NAME = 64  # characters of a name at the most
 
@@ -34,7 +35,7 @@
 
 class Datagram(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
     """`kind`: 0 ping, 1 answer to it, 2 ping asked for through another, 3 word that it was answered, 4 a load
-    alone, 5 a wish for all that the receiver can tell."""
+    alone, 5 a wish for all that the receiver can tell, 6 a piece of a message of the history."""
 
     sender: str
     receiver: str
@@ -56,18 +57,18 @@
     return hashlib.blake2b(bytes([VERSION]) + body, digest_size=MARK, key=key[:64]).digest()
 
 
-def encode(datagram: Datagram, key: bytes) -> bytes:
+def encode(datagram: Datagram, key: bytes, most: int = MOST) -> bytes:
     """The bytes; raises ValueError for what no receiver would take."""
     body = encoder.encode(datagram)
     fault = unfit(datagram)
-    if fault or 1 + MARK + len(body) > MOST:
-        raise ValueError(fault or f"{1 + MARK + len(body)} bytes, {MOST} at most")
+    if fault or 1 + MARK + len(body) > most:
+        raise ValueError(fault or f"{1 + MARK + len(body)} bytes, {most} at most")
     return bytes([VERSION]) + marked(key, body) + body
 
 
-def decode(data: bytes, receiver: str, keys: Mapping[str, bytes]) -> Datagram:
+def decode(data: bytes, receiver: str, keys: Mapping[str, bytes], most: int = MOST) -> Datagram:
     """The datagram, whose mark is that of its sender's pair with this receiver. Raises DatagramDropped."""
-    if len(data) > MOST:
+    if len(data) > most:
         raise DatagramDropped("too long")
     if len(data) <= 1 + MARK:
         raise DatagramDropped("too short")
@@ -95,7 +96,7 @@
     for name in ("born", "heard", "sequence", "number"):
         if not 0 <= getattr(datagram, name) < WHOLE:
             return name
-    if not 0 <= datagram.kind <= 5:
+    if not 0 <= datagram.kind <= 6:
         return "kind"
     if datagram.kind in (2, 3) and not datagram.about:
         return "about"
--- a/hillchute/peers/link.py
+++ b/hillchute/peers/link.py
@@ -8,7 +8,7 @@
 import struct
 import time
 import traceback
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
@@ -19,8 +19,9 @@
 from hillchute.catalog import up
 from hillchute.decision.interface import Time
 from hillchute.errors import PeersNotReachable
-from hillchute.peers.codec import MOST
+from hillchute.peers.codec import MOST, MOST_ON_STREAM
 from hillchute.peers.node import Node
+from hillchute.peers.parts import PIECE
 
 TICK = 0.1  # seconds between two looks at who is to be pinged: half of an answer's time
 SOON = 0.02  # seconds that what was seen waits for more to go with it
@@ -28,6 +29,7 @@
 STREAMS = 4  # streams from others that are open at once
 STREAM_TIME = 2.0  # seconds that one may last
 FRAMES = 256  # datagrams in a stream at the most: a list of some thousands of engines
+CARRIED = 256  # messages that wait for a stream to one peer: what is more is lost, as the network may lose it
 LENGTH = struct.Struct(">H")
 BUFFER = 262_144  # bytes that the kernel keeps of what comes while the loop is busy
 GONE = (
@@ -75,6 +77,8 @@
         self.waiting = anyio.Event()
         self.streams = anyio.CapacityLimiter(STREAMS)
         self.sock: socket.socket | None = None
+        self.heavy: dict[str, deque[bytes]] = {}  # messages too long for a datagram, by peer
+        self.tasks: anyio.abc.TaskGroup | None = None
 
     def open(self) -> None:
         """Raises PeersNotReachable where the address can't be had."""
@@ -94,6 +98,7 @@
         """Until cancelled."""
         try:
             async with anyio.create_task_group() as tasks:
+                self.tasks = tasks
                 tasks.start_soon(self.hear)
                 tasks.start_soon(self.tick, tasks)
                 tasks.start_soon(self.flush)
@@ -140,8 +145,28 @@
             self.soon()
             await anyio.lowlevel.checkpoint()
 
-    def take(self, data: bytes) -> None:
-        self.send(self.node.receive(self.clock(), data))
+    def take(self, data: bytes, most: int = MOST) -> None:
+        self.send(self.node.receive(self.clock(), data, most))
+        self.ride()
+
+    def ride(self) -> None:
+        """What the rider wants to say goes: in one datagram if it fits, else by a stream."""
+        if self.node.rider is None or self.tasks is None:
+            return
+        for name, message in self.node.rider.out():
+            if name not in self.node.keys or name not in self.addresses:
+                continue
+            if len(message) <= PIECE:
+                self.send((name, datagram) for datagram in self.node.pieces(name, message))
+                continue
+            waiting = self.heavy.get(name)
+            if waiting is None:
+                waiting = self.heavy[name] = deque()
+                self.tasks.start_soon(self.carry, name, waiting)
+            if len(waiting) < CARRIED:
+                waiting.append(message)
+            else:
+                self.counts["not carried"] += 1
 
     def guarded(self, work: Callable[..., None], *about: object) -> None:
         """Guards the router against a fault in what it need not have."""
@@ -152,6 +177,9 @@
 
     def look(self) -> None:
         self.send(self.node.tick(self.clock()))
+        if self.node.rider is not None:
+            self.node.rider.tick(self.clock())
+            self.ride()
         self.moved()
 
     def tell(self) -> None:
@@ -191,14 +219,24 @@
             tasks.start_soon(self.tell_all, sock)
 
     async def tell_all(self, sock: socket.socket) -> None:
-        """One wish, marked like any datagram; the answers to it, and the end."""
+        """One wish, marked like any datagram, the answers to it, and the end; or messages, and no answer."""
         async with self.streams:
             try:
                 async with await anyio.abc.SocketStream.from_socket(sock) as stream:
                     with anyio.move_on_after(STREAM_TIME):
-                        data = await frame(BufferedByteReceiveStream(stream))
-                        for _, answer in self.node.receive(self.clock(), data)[:FRAMES]:
-                            await stream.send(LENGTH.pack(len(answer)) + answer)
+                        heard = BufferedByteReceiveStream(stream)
+                        for _ in range(FRAMES):
+                            data = await frame(heard)
+                            answers = self.node.receive(self.clock(), data, MOST_ON_STREAM)[:FRAMES]
+                            self.ride()
+                            for _, answer in answers:
+                                await stream.send(LENGTH.pack(len(answer)) + answer)
+                            if answers:
+                                break
+                        self.moved()
+            except anyio.IncompleteRead:
+                self.counts["streams"] += 1
+                self.moved()
             except GONE:
                 self.counts["streams broken"] += 1
 
@@ -221,10 +259,28 @@
             self.counts["streams broken"] += 1
         self.moved()
 
+    async def carry(self, name: str, waiting: deque[bytes]) -> None:
+        """Messages for one peer, on one stream. What a broken one does not bring is said again by whoever
+        misses it."""
+        try:
+            with anyio.move_on_after(STREAM_TIME):
+                async with await anyio.connect_tcp(*self.addresses[name]) as stream:
+                    while waiting:
+                        for piece in self.node.pieces(name, waiting.popleft(), large=True):
+                            await stream.send(LENGTH.pack(len(piece)) + piece)
+                            self.counts["bytes"] += len(piece)
+                    self.counts["carried"] += 1
+        except GONE:
+            self.counts["streams broken"] += 1
+        except KeyError:  # the operator named it no more meanwhile
+            pass
+        finally:
+            self.heavy.pop(name, None)
+
 
 async def frame(stream: BufferedByteReceiveStream) -> bytes:
     """A datagram behind its length; raises IncompleteRead at the end, OSError for a length out of bounds."""
     (size,) = LENGTH.unpack(await stream.receive_exactly(LENGTH.size))
-    if not 0 < size <= MOST:
+    if not 0 < size <= MOST_ON_STREAM:
         raise OSError("a length out of bounds")
     return await stream.receive_exactly(size)
--- a/hillchute/peers/node.py
+++ b/hillchute/peers/node.py
@@ -8,15 +8,16 @@
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import Protocol
 
 from hillchute.decision.interface import Time
 from hillchute.errors import DatagramDropped
-from hillchute.peers.codec import Datagram, Rumour, Window, decode, encode
+from hillchute.peers.codec import MOST, MOST_ON_STREAM, Datagram, Rumour, Window, decode, encode
+from hillchute.peers.parts import LARGE, PIECE, cut
 from hillchute.peers.roster import ALIVE, ANSWERED, PING, Roster, Send
 
-LOAD, ALL = 4, 5  # kinds beside those of the roster
+LOAD, ALL, HISTORY = 4, 5, 6  # kinds beside those of the roster
 ALL_EVERY: Time = 50_000  # between two wishes for all: a router that comes back, or a cut that ends
 
 
@@ -32,6 +33,16 @@
     def gone(self, name: str) -> None: ...
 
 
+class Rider(Protocol):
+    """Who has messages of its own, of any length: the answer history."""
+
+    def heard(self, now: Time, sender: str, piece: bytes) -> None: ...
+
+    def tick(self, now: Time) -> None: ...
+
+    def out(self) -> list[tuple[str, bytes]]: ...
+
+
 class Node:
     def __init__(
         self, me: str, born: int, keys: Mapping[str, bytes], seed: int, now: Time, passenger: Passenger
@@ -39,6 +50,8 @@
         """`born`: Unix milliseconds of this start. `keys`: of the pair with each peer."""
         self.me, self.born, self.keys, self.passenger = me, born, keys, passenger
         self.roster = Roster(me, born, keys, seed, now)
+        self.rider: Rider | None = None
+        self.messages = 0
         self.windows: defaultdict[str, Window] = defaultdict(Window)  # of those that were ever spoken to
         self.counts: Counter[str] = Counter()  # datagrams to each peer
         self.dropped: Counter[str] = Counter()  # by reason
@@ -56,14 +69,17 @@
             del self.windows[name]
         self.roster.named(keys, now)
 
-    def receive(self, now: Time, data: bytes) -> list[tuple[str, bytes]]:
+    def receive(self, now: Time, data: bytes, most: int = MOST) -> list[tuple[str, bytes]]:
         """A datagram from wherever; what goes back or on."""
         try:
-            datagram = decode(data, self.me, self.keys)
+            datagram = decode(data, self.me, self.keys, most)
             believed = self.windows[datagram.sender].take(datagram, self.born)
             if not believed:
                 return self.unheard(now, datagram)
-            if datagram.load:
+            if datagram.kind == HISTORY:
+                if self.rider is not None:
+                    self.rider.heard(now, datagram.sender, datagram.load)
+            elif datagram.load:
                 self.passenger.heard(now, datagram.sender, datagram.load)
         except DatagramDropped as fault:
             self.dropped[fault.what.split(":")[0]] += 1
@@ -130,7 +146,19 @@
                     send.rumours = send.rumours[: len(send.rumours) // 2]
                 load = b""
 
-    def marked(self, send: Send, load: bytes) -> bytes:
+    def pieces(self, to: str, message: bytes, large: bool = False) -> Iterator[bytes]:
+        """A rider's message as marked pieces; each gets its number as it is taken, so that what goes by a
+        stream is not behind what goes meanwhile."""
+        self.messages += 1
+        for piece in cut(self.messages, message, LARGE if large else PIECE):
+            yield self.marked(Send(to, HISTORY, 0), piece, MOST_ON_STREAM if large else MOST)
+
+    def lives(self) -> dict[str, int]:
+        """Of this router and of all others that live, as far as is known: when each started."""
+        born = ((name, self.windows[name].born) for name in self.living() if name in self.windows)
+        return {name: life for name, life in born if life} | {self.me: self.born}
+
+    def marked(self, send: Send, load: bytes, most: int = MOST) -> bytes:
         self.counts[send.to] += 1
         datagram = Datagram(
             sender=self.me,
@@ -144,4 +172,4 @@
             rumours=send.rumours,
             load=load,
         )
-        return encode(datagram, self.keys[send.to])
+        return encode(datagram, self.keys[send.to], most)
--- a/hillchute/router/events.py
+++ b/hillchute/router/events.py
@@ -24,6 +24,16 @@
     news: list[tuple[int, Report, Time]]
 
 
+class Judged(NamedTuple):
+    """The answer history's word on a keyed query: RUN, ANSWER, DEFER or KILL, by its name."""
+
+    id: str
+    number: int
+    verdict: str
+    why: str
+    rows: words.Rows | None
+
+
 class Tick(NamedTuple):
     """The time that an Alarm named has come."""
 
@@ -35,7 +45,19 @@
 
 
 Event = (
-    Asked | Left | Passed | Spoilt | Connected | NotConnected | Said | Lost | Told | Peered | Tick | Closing
+    Asked
+    | Left
+    | Passed
+    | Spoilt
+    | Connected
+    | NotConnected
+    | Said
+    | Lost
+    | Told
+    | Peered
+    | Judged
+    | Tick
+    | Closing
 )
 
 
@@ -50,6 +72,8 @@
             return "Told", news.number
         case Peered(news):
             return "Peered", len(news)
+        case Judged(id, number, verdict, why, _):
+            return "Judged", id, number, verdict, why
         case _:
             return type(event).__name__, *event
 
@@ -103,6 +127,26 @@
     line: int
 
 
+class Claim(NamedTuple):
+    """The answer history is asked whether a keyed query may run; Judged comes within `left`."""
+
+    id: str
+    number: int
+    key: str
+    token: str
+    left: Time
+    ordered: bool
+
+
+class Close(NamedTuple):
+    """A query that was claimed is over: "freed" if nothing of it can have run, "finished", "killed"."""
+
+    id: str
+    number: int
+    how: str
+    rows: words.Rows | None
+
+
 class Alarm(NamedTuple):
     at: Time
 
@@ -112,4 +156,4 @@
     fields: dict[str, object]
 
 
-Effect = Finish | Stream | Cut | Defer | Kill | Send | Connect | HangUp | Alarm | Note
+Effect = Finish | Stream | Cut | Defer | Kill | Send | Connect | HangUp | Claim | Close | Alarm | Note
--- a/hillchute/router/lines.py
+++ b/hillchute/router/lines.py
@@ -29,6 +29,7 @@
     line: "Line | None" = None
     written: bool = False
     over: bool = False
+    result: str = ""  # its ending
     ran: words.Over | None = None  # the run is over, its result is on its way
     stream: words.Stream | None = None  # the result that has begun
 
@@ -45,6 +46,8 @@
     rank: int | None = None
     legs: list[Leg] = field(default_factory=list)
     answered: bool = False
+    rows: words.Rows | None = None  # for the answer history, if it was claimed
+    claim: str = ""  # its standing in the answer history: asked, granted; none without one
 
 
 @dataclass(slots=True, eq=False)
--- a/hillchute/router/peering.py
+++ b/hillchute/router/peering.py
@@ -6,6 +6,8 @@
 
 from collections.abc import Callable, Mapping
 
+import anyio
+
 from hillchute.accord.company import Company
 from hillchute.decision.interface import Report
 from hillchute.decision.teamwork import Teamwork
@@ -16,19 +18,24 @@
 from hillchute.router.config import Station, address
 from hillchute.router.telling import Telling
 
+HAND_OVER = 80_000  # a router that ends waits so long for others to fetch what it has: two views' time
+HAND_OVER_STEP = 0.05  # seconds between two looks at it
 LOGGED = 50_000  # tenths of a millisecond between two lines on the peers
 
 
 class Peering:
     def __init__(
         self,
-        settings: Mapping[str, object],
+        operator: Mapping[str, object],
         station: Station,
         module: Teamwork,
         log: Log,
         moved: Callable[[], None],
+        judged: Callable[..., None] = lambda *about: None,
     ) -> None:
-        """`moved` is told when there is news for the module; it takes them by `news` and `telling.stand`."""
+        """`moved` is told when there is news for the module; it takes them by `news` and `telling.stand`.
+        `judged` is told the answer history's verdicts, if the operator file has one."""
+        settings = operator["peers"]
         self.log, self.moved, self.clock = log, moved, Steady()
         now, me = self.clock(), settings["name"]
         keys, self.addresses = named(settings)
@@ -50,10 +57,29 @@
             fault=lambda trace: log.write("fault", what="peers", trace=trace),
         )
         self.telling = Telling(module, self.company, catalog, self.clock, self.node.living, self.link.soon)
+        self.remembering = None
+        if operator.get("history"):
+            from hillchute.router.remembering import Remembering
+
+            about = (operator["history"], self.node, self.clock, log, judged, self.ride)
+            self.remembering = Remembering(*about)
         self.settings = settings
         self.logged = now
         self.known: list[str] = []
 
+    def ride(self) -> None:
+        """The history has something to say. Before the sockets are open it waits for the next look."""
+        if self.link.tasks is not None:
+            self.link.ride()
+
+    async def hand_over(self) -> None:
+        """A router that ends stays until others have what it alone holds, or for so long."""
+        if self.remembering is None:
+            return
+        end = self.clock() + HAND_OVER
+        while not self.remembering.handed_over and self.clock() < end:
+            await anyio.sleep(HAND_OVER_STEP)
+
     def heard(self) -> None:
         """Something came, or the time has gone on."""
         now = self.clock()
@@ -85,8 +111,9 @@
     def news(self) -> list[tuple[int, Report, int]]:
         return self.company.news()
 
-    def renew(self, settings: Mapping[str, object]) -> list[str]:
-        """The operator file's peers read again; the paths of what needs a restart."""
+    def renew(self, operator: Mapping[str, object]) -> list[str]:
+        """The operator file's peers and history read again; the paths of what needs a restart."""
+        settings, history = operator["peers"], operator.get("history")
         keys, addresses = named(settings)
         restart = [f"peers.{key}" for key in ("name", "listen") if settings[key] != self.settings[key]]
         if not restart:
@@ -94,6 +121,12 @@
             self.company.named(self.clock(), [settings["name"], *keys])
             self.link.addresses = addresses
             self.settings = settings
+        if self.remembering is not None and history:
+            if not restart:
+                self.remembering.named()
+            self.remembering.renew(history)
+        elif bool(history) != (self.remembering is not None):
+            restart.append("history")
         return restart
 
 
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -8,12 +8,15 @@
 
 from collections.abc import Callable, Mapping
 
+from hillchute.decision import teamwork as endings
 from hillchute.decision.interface import Report, Router, Time
 from hillchute.engines import words
 from hillchute.membership import event_bus
 from hillchute.router.desk import Desk
 from hillchute.router.events import (
     Asked,
+    Claim,
+    Close,
     Closing,
     Connected,
     Cut,
@@ -21,6 +24,7 @@
     Effect,
     Event,
     Finish,
+    Judged,
     Kill,
     Left,
     Lost,
@@ -39,6 +43,7 @@
 from hillchute.statements.request import Request
 
 COUNT_EVERY = 10_000  # tenths of a millisecond between two lines of the log that count the answers
+NEVER_RAN, MAY_STILL_RUN = frozenset(endings.NEVER_RAN), frozenset(endings.MAY_STILL_RUN)
 AFTER_ALL: Time = 500  # 50 ms before a client's time is up a query gets an answer, whatever happens
 
 
@@ -58,6 +63,8 @@
             max(value) if isinstance(value, list) else value
             for value in (catalog.get("domain.kind_cores", 1), catalog.get("domain.ram_of_kind_mb") or 10**9)
         )
+        self.history = False  # whether keyed queries wait for the answer history's word
+        self.order_pause: Time = catalog.get("guarantees.order_pause", 0)
         self.end: Time | None = None
         self.queries: dict[str, Query] = {}
         self.asking: dict[int, Query] = {}  # by session, while unanswered
@@ -74,6 +81,7 @@
             Lost: self.lines.lost,
             Told: self.lines.told,
             Peered: self.peered,
+            Judged: self.judged,
             Tick: self.tick_came,
             Closing: self.closing,
         }
@@ -158,9 +166,40 @@
             due = min(due, self.end)
         q = Query(request, session, since, due, self.desk.number())
         self.queries[request.id] = self.asking[session] = q
-        key = request.key if group in self.ordered else None
         self.desk.at(max(due, since + request.patience - AFTER_ALL), self.overdue, request.id, q.number)
-        self.module.take(now, request.id, group, due, request.tables, 0, request.cost, request.memory, key)
+        if self.history and group in self.tokened and request.token is not None:
+            q.claim = "asked"
+            # Those without a key have no order: each is a key of its own.
+            key, ordered = request.key or request.token, group in self.ordered
+            self.desk.ask(Claim(request.id, q.number, key, request.token, max(0, due - now), ordered))
+            return
+        self.hand_on(q)
+
+    def hand_on(self, q: Query) -> None:
+        """The module has it from now on."""
+        request, group = q.request, self.groups[q.request.group]
+        key = request.key if group in self.ordered else None
+        about = (request.tables, 0, request.cost, request.memory, key)
+        self.module.take(self.desk.now, request.id, group, q.due, *about)
+
+    def judged(self, id: str, number: int, verdict: str, why: str, rows: words.Rows | None) -> None:
+        """The answer history's word on a query that waits for it."""
+        q = self.named(id, number)
+        if q is None or q.answered or q.claim != "asked":
+            return
+        match verdict:
+            case "RUN":
+                q.claim = "granted"
+                self.hand_on(q)
+                return
+            case "ANSWER":
+                effect, how = Finish(q.session, rows), "finished"
+            case "KILL":
+                effect, how = Kill(q.session, why), "killed"
+            case _:
+                effect, how = Defer(q.session, 0), "deferred"
+        q.claim = ""
+        self.answer(q, effect, how, f"history: {why}")
 
     def misfit(self, session: int, request: Request) -> str | None:
         """Why this request can't be a query here."""
@@ -194,6 +233,9 @@
         """Guards rule 1 against a fault in the decisions: the client gets an answer whatever happens."""
         q = self.named(id, number)
         if q is not None and not q.answered:
+            if q.claim == "asked":
+                self.answer(q, Defer(q.session, 0), "deferred", "history: no verdict in time")
+                return
             self.desk.note("fault", what="unanswered at its end", query=q.request.id)
             self.module.left(self.desk.now, q.request.id)
             self.answer(q, Kill(q.session, "no answer in time"), "unanswered")
@@ -253,8 +295,21 @@
     def forget(self, q: Query) -> None:
         if q.answered and all(leg.over for leg in q.legs):
             self.queries.pop(q.request.id, None)
+            self.close(q)
             q.legs.clear()  # a ring of references would wait for the collector, results and all
 
+    def close(self, q: Query) -> None:
+        """The answer history hears how a query that it was asked for ended."""
+        if not q.claim:
+            return
+        q.claim, results = "", {leg.result for leg in q.legs}
+        how = "freed" if results <= NEVER_RAN else "finished" if "finished" in results else "killed"
+        close = Close(q.request.id, q.number, how, q.rows)
+        if results & MAY_STILL_RUN and how == "killed":  # the next of its key must not overtake it
+            self.desk.at(self.desk.now + self.order_pause + 1, self.desk.ask, close)
+        else:
+            self.desk.ask(close)
+
     def closing(self, end: Time) -> None:
         self.end = end
         self.module.closing(self.desk.now, end)
@@ -315,7 +370,7 @@
         """A submission has its ending; the module is told. `end`: what the engine said with it."""
         if leg.over:
             return
-        leg.over = True
+        leg.over, leg.result = True, result
         q, line, end = leg.query, leg.line, end or leg.ran
         if line is not None:
             if leg.written:
@@ -381,6 +436,8 @@
 
     def whole(self, leg: Leg, rows: words.Rows, end: words.Whole) -> None:
         q = leg.query
+        if q.claim:
+            q.rows = rows
         self.leg_over(leg, "finished", final=True, end=end)
         self.answer(q, Finish(q.session, rows), "finished")
 
--- /dev/null
+++ b/hillchute/router/remembering.py
@@ -0,0 +1,185 @@
+"""A router's part in the answer history: puts keeper, disk and the peers' node together from the operator
+file's `history`.
+
+Owns that wiring, the way between the reducer's queries and the keeper's claims, and what is logged of it.
+Must never decide; imported only where the operator file has `history`.
+"""
+
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from hillchute.decision.interface import Time
+from hillchute.engines.words import Rows
+from hillchute.errors import BookNotTaken, DiskNotUsable
+from hillchute.history import policy
+from hillchute.history.codec import decode, encode
+from hillchute.history.disk import Disk
+from hillchute.history.keeper import Keeper
+from hillchute.history.policy import MS, Book, Forget, Policy
+from hillchute.history.records import FINISHED, FREED, KILLED
+from hillchute.history.verdict import Verdict
+from hillchute.log import Log
+from hillchute.peers.node import Node
+from hillchute.peers.parts import Joiner
+
+LOGGED: Time = 50_000  # between two lines on the history
+POLICY = Policy.__struct_fields__
+
+STATES = {"freed": FREED, "finished": FINISHED, "killed": KILLED}
+
+rows_in, rows_out = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Rows)
+
+
+class Remembering:
+    def __init__(
+        self,
+        settings: Mapping[str, object],
+        node: Node,
+        clock: Callable[[], Time],
+        log: Log,
+        judged: Callable[[str, int, str, str, Rows | None], None],
+        soon: Callable[[], None],
+    ) -> None:
+        """`judged` is told each verdict: the query's id and number, and what the verdict says. `soon` is told
+        when there is something to be sent."""
+        self.node, self.clock, self.log, self.judged, self.soon = node, clock, log, judged, soon
+        now = clock()
+        self.joiner = Joiner()
+        self.disk = None
+        if settings.get("disk"):
+            try:
+                self.disk = Disk(settings["disk"])
+            except DiskNotUsable as fault:  # the history goes on in memory: no record rests on this disk
+                log.write("history_disk", **fault.told)
+        self.keeper = Keeper(
+            node.me, node.born, [node.me, *node.keys], book_of(settings), now, node.lives, self.disk
+        )
+        if self.disk is not None:
+            self.keeper.recall(now, self.disk.read())
+        self.numbers: dict[tuple[str, int], int] = {}  # the keeper's, of each of the reducer's
+        self.queries: dict[int, tuple[str, int]] = {}
+        self.logged, self.late = now, frozenset()
+        node.rider = self
+
+    # ---- the reducer's queries ----------------------------------------------------------------------
+
+    def claim(self, id: str, number: int, key: str, token: str, left: Time, ordered: bool) -> None:
+        now = self.clock()
+        mine = self.keeper.claim(now, "", key, token, now + left, ordered)
+        self.numbers[id, number], self.queries[mine] = mine, (id, number)
+        self.pass_on()
+
+    def close(self, id: str, number: int, how: str, rows: Rows | None) -> None:
+        """The query is over: freed, finished or killed."""
+        mine = self.numbers.pop((id, number), None)
+        if mine is None:
+            return
+        self.queries.pop(mine, None)
+        self.keeper.ended(self.clock(), mine, STATES[how], None if rows is None else rows_in.encode(rows))
+        self.pass_on()
+
+    def pass_on(self) -> None:
+        verdicts, self.keeper.verdicts = self.keeper.verdicts, []
+        for mine, verdict, why, rows in verdicts:
+            query = self.queries.get(mine)
+            if query is None:
+                continue
+            if verdict is not Verdict.RUN:
+                del self.queries[mine], self.numbers[query]
+            try:
+                self.judged(*query, verdict.name, why, None if rows is None else rows_out.decode(rows))
+            except msgspec.DecodeError:
+                self.judged(*query, "KILL", "its rows can't be read", None)
+        if self.keeper.out:
+            self.soon()
+
+    # ---- the node's rider ---------------------------------------------------------------------------
+
+    def heard(self, now: Time, sender: str, piece: bytes) -> None:
+        whole = self.joiner.take(now, sender, piece)
+        if whole is not None:
+            self.keeper.receive(now, sender, decode(whole, sender))
+            self.pass_on()
+
+    def tick(self, now: Time) -> None:
+        self.keeper.tick(now)
+        self.pass_on()
+        if now - self.logged >= LOGGED:
+            self.logged = now
+            self.tell(now)
+
+    def out(self) -> list[tuple[str, bytes]]:
+        out, self.keeper.out = self.keeper.out, []
+        said = []
+        for to, message in out:
+            try:
+                said.append((to, encode(message)))
+            except ValueError as fault:
+                self.node.dropped[f"history not sent: {fault}"] += 1
+        return said
+
+    # ---- log, reload, end -------------------------------------------------------------------------
+
+    def tell(self, now: Time) -> None:
+        keeper = self.keeper
+        self.log.write(
+            "history",
+            policies=keeper.book.number,
+            view=keeper.views.view.number,
+            members=len(keeper.views.view.members),
+            in_force=keeper.views.in_force(now),
+            records=keeper.shelf.of.total(),
+            bytes=keeper.shelf.bytes,
+            fetching=len(keeper.wanting),
+            claims=len(keeper.mine),
+            **dict(keeper.counts),
+        )
+        for fault in keeper.not_applied():
+            self.log.write("history_policies", **fault.told)
+        if self.disk is not None:
+            for fault in self.disk.faults():
+                self.log.write("history_disk", **fault.told)
+
+    def renew(self, settings: Mapping[str, object]) -> None:
+        """The operator file's history read again: a book with a higher number holds at once, here and soon
+        everywhere; another of the same number is no book."""
+        book = book_of(settings)
+        if book.number == self.keeper.book.number and book == self.keeper.book:
+            return
+        if self.keeper.apply(self.clock(), book):
+            changed = sorted(policy.changed(self.keeper.book, book)) or ["forget"]
+            self.log.write("history_policies", policies=book.number, applied=changed)
+        else:
+            what = f"policies {book.number}; {self.keeper.book.number} hold"
+            self.log.write("history_policies", **BookNotTaken(what, "history.number").told)
+
+    def named(self) -> None:
+        """The operator names other routers: half of them is another number, so all is asked anew."""
+        self.keeper.named([self.node.me, *self.node.keys], self.clock())
+
+    @property
+    def handed_over(self) -> bool:
+        alone = len(self.node.keys) == 0 or not self.node.living()
+        return alone or self.keeper.handed_over
+
+
+def book_of(settings: Mapping[str, object]) -> Book:
+    """The operator file's history as a book."""
+    customers = {each["name"]: policy_of(each) for each in settings["customers"]}
+    forgets = tuple(
+        Forget(each["before_ms"] * MS, each["customer"], each.get("key")) for each in settings["forget"]
+    )
+    return Book(
+        settings["number"],
+        settings["copies"],
+        settings["erase_ms"],
+        settings["founded_ms"] * MS,
+        policy_of(settings["default"]),
+        customers,
+        forgets,
+    )
+
+
+def policy_of(settings: Mapping[str, object]) -> Policy:
+    return Policy(**{name: settings[name] for name in POLICY})
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -76,11 +76,12 @@
         if operator.get("peers"):
             from hillchute.router.peering import Peering
 
-            self.peering = Peering(operator["peers"], station, module, log, self.peered)
+            self.peering = Peering(operator, station, module, log, self.peered, self.judged)
             module = self.peering.telling
         self.reducer = Reducer(module, station.catalog, station.sockets // 3)
         if self.peering is not None:
             self.peering.telling.reached = lambda: self.reducer.lines.told_to
+            self.reducer.history = self.peering.remembering is not None
         self.door = Door(
             station.sockets // 2,
             station.packet,
@@ -180,6 +181,10 @@
                 self.links.open(line, host, port, self.tasks)
             case events.HangUp(line):
                 self.links.hang_up(line)
+            case events.Claim():
+                self.peering.remembering.claim(*effect)
+            case events.Close():
+                self.peering.remembering.close(*effect)
             case events.Alarm(at):
                 self.alarm = at
                 if self.rings is None or at < self.rings:  # a later one is found when it wakes
@@ -203,6 +208,9 @@
     def peered(self) -> None:
         self.handle(events.Peered(self.peering.news()))
 
+    def judged(self, id: str, number: int, verdict: str, why: str, rows: words.Rows | None) -> None:
+        self.handle(events.Judged(id, number, verdict, why, rows))
+
     def gave_up(self, session: int) -> None:
         """A client gave its query up, or is gone; the query may not have been handed on yet."""
         if not self.rounds.drop(session) and session in self.reducer.asking:
@@ -320,6 +328,8 @@
                 await anyio.sleep(STEP)
             if self.flight is not None:
                 await self.flight.close(HANG_UP_TIME)
+            if self.peering is not None:
+                await self.peering.hand_over()
             self.tasks.cancel_scope.cancel()
         self.lifecycle.enter(Phase.STOPPED)
 
@@ -389,7 +399,7 @@
             restart.append("flight")
         before, after = self.operator.get("peers"), operator.get("peers")
         if self.peering is not None and after is not None:
-            restart += self.peering.renew(after)
+            restart += self.peering.renew(operator)
         elif before != after:
             restart.append("peers")
         self.operator = operator
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -409,6 +409,15 @@
     assert len(places) == len(set(places))
 
 
+def test_queries_of_one_key_at_one_router_run_in_the_order_in_which_they_came():
+    net = net_of(copies=1, loss=0.1, twice=0.1)
+    for n in range(8):
+        net.ask("n1", f"t{n}", "k", 20 * SECOND)
+    net.advance(20)
+    began = [net.runs[f"t{n}"][0][0] for n in range(8) if net.runs[f"t{n}"]]
+    assert len(began) >= 6 and began == sorted(began) and not net.rule
+
+
 def test_forget_holds_over_a_cut_and_a_return():
     net = net_of(copies=2)
     assert asked(net, "n0", "t", "k") == "RUN"
--- /dev/null
+++ b/tests/test_remembering.py
@@ -0,0 +1,349 @@
+"""The answer history on routers that run: the reducer's side, the disk, processes with faults between."""
+
+import sqlite3
+import stat
+from functools import partial
+
+import anyio
+import pytest
+from conftest import CATALOG
+
+from hillchute.decision.teamwork import SECOND, Teamwork
+from hillchute.errors import DatagramDropped, DiskNotUsable
+from hillchute.history.disk import Disk
+from hillchute.history.keeper import Keeper
+from hillchute.history.policy import Book, Forget, Policy
+from hillchute.history.records import FINISHED, OUT, Record
+from hillchute.lab import processes
+from hillchute.lab.history_net import EPOCH, HistoryNet, founded
+from hillchute.operator import reading
+from hillchute.operator.records import BadRecord
+from hillchute.peers import parts
+from hillchute.router import events
+from hillchute.router.reducer import Reducer
+from hillchute.router.remembering import book_of
+from hillchute.statements.request import Request
+
+DISK = Policy(rows=True, disk=True, least_ms=20_000, most_ms=60_000)
+
+
+def record(token="t", state=FINISHED, rows=b"rows", key="k", **about):
+    whose = {"owner": "n0", "life": 1, "claim": 1, "patience": SECOND} | about
+    return Record("", key, token, EPOCH, 1, 1, state=state, rows=rows, **whose)
+
+
+# ---- the reducer's side ----
+
+
+class Rig:
+    """A reducer whose keyed queries wait for the history's word; one engine, in reach."""
+
+    def __init__(self):
+        names = {f"groups.{n}.name": name for n, name in enumerate(("lookup", "report", "load", "write"))}
+        names["limits.open_cap"] = 100
+        self.module = Teamwork(7, CATALOG | names, 0)
+        self.reducer = Reducer(self.module, CATALOG | names, 8)
+        self.reducer.history = True
+        self.group = "load"
+        self.count = 0
+
+    def ask(self, token="ab", now=0, patience=5 * SECOND):
+        self.count += 1
+        id = f"{self.count:016x}"
+        request = Request(id, self.group, patience, b"UPDATE t SET a = 1", token, 1000, 1.0, "cd")
+        return id, self.reducer.reduce(events.Asked(self.count, request, now), now)
+
+    def judged(self, id, verdict, rows=None, now=10):
+        number = self.reducer.queries[id].number
+        return self.reducer.reduce(events.Judged(id, number, verdict, "why", rows), now)
+
+
+def of(effects, *kinds):
+    return [e for e in effects if isinstance(e, kinds)]
+
+
+def test_keyed_query_waits_for_the_historys_word_and_then_goes_on():
+    rig = Rig()
+    id, said = rig.ask()
+    (claim,) = of(said, events.Claim)
+    assert (claim.id, claim.key, claim.token) == (id, "cd", "ab") and 0 < claim.left <= 5 * SECOND
+    assert id not in rig.module.queries
+    rig.judged(id, "RUN")
+    assert id in rig.module.queries
+
+
+@pytest.mark.parametrize(
+    ("verdict", "effect"), [("ANSWER", events.Finish), ("DEFER", events.Defer), ("KILL", events.Kill)]
+)
+def test_word_that_is_no_run_is_the_answer(verdict, effect):
+    rig = Rig()
+    id, _ = rig.ask()
+    said = rig.judged(id, verdict, [[b"1"], [b"2"], [b"3"]])
+    assert len(of(said, effect)) == 1 and not of(said, events.Close)
+    assert id not in rig.reducer.queries and id not in rig.module.queries
+    assert rig.reducer.reduce(events.Judged(id, 1, "RUN", "", None), 20) is not None
+    assert id not in rig.module.queries  # a word that comes again, or late, is nobody's
+
+
+def test_query_without_a_word_is_deferred_at_its_end_and_its_claim_is_freed():
+    rig = Rig()
+    id, _ = rig.ask()
+    said = rig.reducer.reduce(events.Tick(), 5 * SECOND)
+    assert len(of(said, events.Defer)) == 1 and not of(said, events.Kill)
+    assert [(c.id, c.how) for c in of(said, events.Close)] == [(id, "freed")]
+
+
+def test_client_that_leaves_frees_its_claim():
+    rig = Rig()
+    id, _ = rig.ask()
+    said = rig.reducer.reduce(events.Left(rig.count), 10)
+    assert [(c.id, c.how) for c in of(said, events.Close)] == [(id, "freed")]
+
+
+@pytest.mark.parametrize(
+    ("results", "how"),
+    [
+        ([], "freed"),
+        (["saturated", "unreached"], "freed"),
+        (["saturated", "finished"], "finished"),
+        (["errored"], "killed"),
+        (["overdue"], "killed"),
+    ],
+)
+def test_history_hears_what_may_have_run(results, how):
+    from hillchute.router.lines import Leg
+
+    rig = Rig()
+    id, _ = rig.ask()
+    rig.judged(id, "RUN")
+    q = rig.reducer.queries[id]
+    q.legs = [Leg(q, n, 1, 0, 0, over=True, result=result) for n, result in enumerate(results)]
+    q.answered, q.rows = True, [[b"1"]]
+    rig.reducer.desk.begin(20, False)
+    rig.reducer.forget(q)
+    now = [c.how for c in of(rig.reducer.desk.effects, events.Close)]
+    later = [c.how for c in of(rig.reducer.reduce(events.Tick(), 10 * SECOND), events.Close)]
+    pause = results == ["overdue"]  # the next of its key must not overtake what may still run
+    assert (now, later) == (([], [how]) if pause else ([how], []))
+
+
+def test_without_a_history_nothing_is_asked():
+    rig = Rig()
+    rig.reducer.history = False
+    id, said = rig.ask()
+    assert not of(said, events.Claim) and id in rig.module.queries
+
+
+# ---- the operator file ----
+
+
+def test_operator_files_history_becomes_a_book():
+    text = """history: {number: 3, copies: 1, founded_ms: 5, default: {rows: true, least_ms: 5000},
+      customers: [{name: "a", hold: true}], forget: [{before_ms: 7, customer: "a", key: "k"}]}
+      peers: {name: "a", listen: "127.0.0.1:1", others: []}"""
+    book = book_of(reading.hold(text)["history"])
+    assert (book.number, book.copies, book.founded) == (3, 1, 50)
+    assert book.default == Policy(rows=True, least_ms=5000) and book.of("a").hold
+    assert book.forgets == (Forget(70, "a", "k"),)
+
+
+@pytest.mark.parametrize(
+    ("text", "path"),
+    [
+        ("history: {number: 0, default: {}}", "history.number"),
+        ("history: {number: 1, default: {least_ms: 5}}", "history.default.least_ms"),
+        ('history: {number: 1, default: {lost: "x"}}', "history.default.lost"),
+        ("history: {number: 1, default: {}}", "history: expected `peers`"),
+        ("history: {number: 1, default: {least_ms: 5000, most_ms: 4000}}", "history: default.least_ms"),
+    ],
+)
+def test_faulty_history_is_named_by_its_path(text, path):
+    peers = '\npeers: {name: "a", listen: "127.0.0.1:1", others: []}' if "expected" not in path else ""
+    with pytest.raises(BadRecord, match=path):
+        reading.hold(text + peers)
+
+
+# ---- messages in pieces ----
+
+
+def test_message_comes_whole_from_pieces_in_any_order_and_twice():
+    joiner, message = parts.Joiner(), bytes(range(256)) * 20
+    pieces = list(parts.cut(1, message, 900))
+    assert len(pieces) == 6
+    told = [joiner.take(0, "a", piece) for piece in [*pieces[:0:-1], *pieces[2:4], pieces[0]]]
+    assert told == [None] * 7 + [message]
+    assert list(parts.cut(1, b"", 900)) and joiner.open == {"a": {}}
+
+
+def test_pieces_that_never_become_whole_are_bounded_and_end():
+    joiner = parts.Joiner()
+    for number in range(500):
+        piece = parts.encoder.encode(parts.Piece(number, 0, 2, b"x"))
+        assert joiner.take(0, "a", piece) is None
+    assert len(joiner.open["a"]) == parts.MOST_OPEN
+    joiner.take(parts.OPEN_FOR + 1, "a", parts.encoder.encode(parts.Piece(999, 0, 2, b"x")))
+    assert list(joiner.open["a"]) == [999]
+    for bad in (parts.Piece(1, 2, 2, b""), parts.Piece(1, 0, parts.MOST_PIECES + 1, b"")):
+        with pytest.raises(DatagramDropped):
+            joiner.take(0, "a", parts.encoder.encode(bad))
+
+
+# ---- the disk ----
+
+
+def keeper_on(path, book=None, now=EPOCH) -> Keeper:
+    keeper = Keeper(
+        "n0", 1, ["n0"], book or founded(copies=0, default=DISK), now, lambda: {"n0": 1}, Disk(path)
+    )
+    keeper.recall(now, keeper.disk.read())
+    return keeper
+
+
+def bytes_of(folder) -> bytes:
+    return b"".join(file.read_bytes() for file in folder.iterdir())
+
+
+def test_record_is_on_the_disk_and_comes_back(tmp_path):
+    keeper = keeper_on(tmp_path / "h.db")
+    keeper.shelf.put(record(rows=b"seldom-seen-rows"), EPOCH, 0, keeper.book)
+    assert keeper.save()
+    again = keeper_on(tmp_path / "h.db")
+    assert [k.record for k in again.shelf.all()] == [record(rows=b"seldom-seen-rows")]
+
+
+def test_what_is_forgotten_is_in_none_of_the_files_bytes(tmp_path):
+    keeper = keeper_on(tmp_path / "h.db")
+    for n in range(300):
+        keeper.shelf.put(record(f"t{n}", rows=b"seldom-seen-rows"), EPOCH, 0, keeper.book)
+    assert keeper.save() and b"seldom-seen" in bytes_of(tmp_path)
+    assert keeper.apply(EPOCH, Book(2, 0, default=DISK, forgets=(Forget(EPOCH + 1),)))
+    assert b"seldom-seen" not in bytes_of(tmp_path)
+    assert not list(keeper_on(tmp_path / "h.db").shelf.all())
+
+
+def test_policy_that_wants_no_disk_takes_records_off_it(tmp_path):
+    keeper = keeper_on(tmp_path / "h.db")
+    keeper.shelf.put(record(rows=b"seldom-seen-rows"), EPOCH, 0, keeper.book)
+    assert keeper.save()
+    keeper.apply(EPOCH, Book(2, 0, default=Policy(rows=True, least_ms=20_000)))
+    assert b"seldom-seen" not in bytes_of(tmp_path) and len(list(keeper.shelf.all())) == 1
+
+
+def test_copy_of_yesterday_knows_less_and_runs_nothing_for_it(tmp_path):
+    path, net = tmp_path / "h.db", HistoryNet(1, 1, founded(copies=0, default=DISK))
+    disk = Disk(path)
+    net.keepers["n0"].disk = disk
+    assert net.settled()
+    net.advance(61)  # past the founding: until then what nobody holds is what nobody had
+    net.ask("n0", "first", "k")
+    net.advance(3)
+    disk.db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+    yesterday = path.read_bytes()
+    net.ask("n0", "second", "k")
+    net.advance(3)
+    assert net.said["RUN"] == 2
+    net.kill("n0")
+    disk.close()
+    for file in tmp_path.iterdir():
+        file.unlink()
+    path.write_bytes(yesterday)
+    net.start("n0")
+    keeper = net.keepers["n0"]
+    keeper.disk = Disk(path)
+    keeper.recall(net.now, keeper.disk.read())
+    assert net.settled()
+    net.ask("n0", "first", "k")
+    net.ask("n0", "second", "k")
+    net.advance(6)
+    assert net.said["RUN"] == 2 and net.said["DEFER"] >= 1 and not net.rule
+    assert keeper.shelf.find("", "k", "first").record.state == FINISHED and net.said["ANSWER"] == 1
+
+
+def test_full_disk_grants_nothing_that_wants_it_and_goes_on_once_there_is_room(tmp_path):
+    net = HistoryNet(1, 1, founded(copies=0, default=DISK))
+    disk = net.keepers["n0"].disk = Disk(tmp_path / "h.db")
+    assert net.settled()
+    (pages,) = disk.db.execute("PRAGMA page_count").fetchone()
+    disk.db.execute(f"PRAGMA max_page_count = {pages}")
+    for n in range(40):
+        net.ask("n0", f"t{n}", f"k{n}" + "x" * 100)
+    net.advance(6)
+    refused = net.said["DEFER"]
+    assert refused > 0 and net.said["RUN"] + refused == 40
+    (fault,) = disk.faults()
+    assert "full" in str(fault) and fault.remedy and not disk.faults()
+    disk.db.execute("PRAGMA max_page_count = 100000")
+    net.ask("n0", "late", "k")
+    net.advance(3)
+    assert net.said["DEFER"] == refused and not net.rule
+
+
+def test_disk_that_is_read_only_or_damaged_is_said_so(tmp_path):
+    path = tmp_path / "h.db"
+    Disk(path).close()
+    path.write_bytes(b"no database at all" * 500)
+    with pytest.raises(DiskNotUsable) as fault:
+        Disk(path)
+    assert str(path) in str(fault.value)
+    with pytest.raises(DiskNotUsable):
+        Disk(tmp_path / "no folder" / "h.db")
+    other = tmp_path / "o.db"
+    disk = Disk(other)
+    disk.db.execute("PRAGMA query_only = ON")  # as a file system that turns read-only
+    assert not disk.write({("", "k", "t"): record()}, {("", "k", "t"): EPOCH})
+    assert len(disk.faults()) == 1
+    assert stat.S_ISREG(other.stat().st_mode)
+
+
+def test_rows_on_the_disk_that_cannot_be_read_are_erased(tmp_path):
+    keeper = keeper_on(tmp_path / "h.db")
+    for token in ("a", "b"):
+        keeper.shelf.put(record(token), EPOCH, 0, keeper.book)
+    keeper.save()
+    with sqlite3.connect(tmp_path / "h.db") as db:
+        db.execute("UPDATE records SET body = x'93c0' WHERE token = 'a'")
+    again = keeper_on(tmp_path / "h.db")
+    assert [k.record.token for k in again.shelf.all()] == ["b"]
+    assert again.disk.counts["unreadable"] == 1
+    with sqlite3.connect(tmp_path / "h.db") as db:
+        assert db.execute("SELECT token FROM records").fetchall() == [("b",)]
+
+
+def test_holder_without_the_disk_that_a_policy_wants_grants_nothing():
+    net = HistoryNet(1, 3, founded(copies=1, default=DISK))
+    assert net.settled()
+    net.ask("n0", "t", "k")
+    net.advance(6)
+    assert not net.runs["t"] and net.said["DEFER"] == 1
+
+
+def test_run_that_was_out_when_the_only_router_ended_is_not_run_again(tmp_path):
+    path, net = tmp_path / "h.db", HistoryNet(2, 1, founded(copies=0, default=DISK))
+    net.keepers["n0"].disk = Disk(path)
+    assert net.settled()
+    net.ask("n0", "t", "k")
+    while not net.runs["t"]:
+        net.advance(0.05)
+    net.kill("n0")
+    net.start("n0")
+    keeper = net.keepers["n0"]
+    keeper.disk = Disk(path)
+    keeper.recall(net.now, keeper.disk.read())
+    assert [k.record.state for k in keeper.shelf.all()] == [OUT]
+    assert net.settled()
+    net.ask("n0", "t", "k")
+    net.advance(40)
+    net.ask("n0", "t", "k")
+    net.advance(6)
+    assert (net.said["RUN"], net.said["DEFER"], net.said["KILL"]) == (1, 1, 1)
+
+
+# ---- processes ----
+
+
+def test_resends_over_a_fleet_of_processes_run_nothing_twice_while_faults_strike():
+    found = anyio.run(partial(processes.run, 7, 30.0, history=True))
+    assert not found["broken_rules"], found["first_broken"]
+    assert not found["ran_twice"] and not found["bad_exits"] and not found["router_faults"]
+    assert found["replayed"] > 5 and found["resent"] > 10
+    assert found["served_share"] > 0.5
