--- a/hillchute/lab/processes.py
+++ b/hillchute/lab/processes.py
@@ -367,7 +367,7 @@
         }
 
     def ran_twice(self) -> list[str]:
-        """Tokens that ran for two queries within their keep time, and that nobody wanted forgotten between."""
+        """Tokens that ran for two queries within their keep time, with no wish to forget between."""
         runs = defaultdict(list)
         for run in sorted(self.world.ran, key=lambda run: run.began):
             if run.token:
