--- a/hillchute/history/codec.py
+++ b/hillchute/history/codec.py
@@ -22,6 +22,13 @@
 NAME = 64
 MEMBERS = 4096
 WHOLE = 1 << 62
+BOUNDS = {
+    "slot": SLOTS - 1,
+    "left": 864_000_000,
+    "patience": 864_000_000,
+    "attempt": 1 << 40,
+    "place": 1 << 40,
+}
 MOST = 8 << 20  # bytes of one message
 PARTS = 4096  # messages that a slot goes in at the most
 
@@ -195,7 +202,7 @@
         case bool() | None:
             return ""
         case int():
-            most = SLOTS - 1 if name == "slot" else WHOLE
+            most = BOUNDS.get(name, WHOLE)
             return "" if 0 <= value <= most else name
         case str():
             return "" if len(value) <= TEXT else name
--- a/hillchute/history/keeper.py
+++ b/hillchute/history/keeper.py
@@ -113,7 +113,8 @@
     ) -> None:
         """`living`: this router and all others that live, with their lives."""
         self.me, self.life, self.living, self.disk = me, life, living, disk
-        self.book, self.told = book, book.number  # the number that any call has named
+        self.book, self.told = book, book.number  # the number that the last call named
+        self.told_by: tuple[Id, Time] = ((0, ""), 0)
         self.views, self.shelf = Views(me, life, named, now), Shelf()
         self.taken_up: list[View] = []
         self.forgot_views = 0  # of `taken_up` that were dropped
@@ -233,7 +234,7 @@
             case Granted(grant):
                 self.granted(sender, grant)
             case Text(view):
-                if sender == view.speaker and self.views.take_up(view):
+                if sender == view.speaker and self.views.take_up(now, view):
                     self.view_taken_up()
             case WantBook(above):
                 if self.book.number > above:
@@ -266,7 +267,7 @@
 
     def begin_view(self) -> None:
         view = self.views.proposed
-        if self.views.take_up(view):
+        if self.views.take_up(self.now, view):
             self.view_taken_up()
         for name in view.members:
             if name != self.me:
@@ -275,7 +276,7 @@
         self.call()
 
     def call(self) -> None:
-        views, book = self.views, max([self.book.number, *self.views.books.values()])
+        views, book = self.views, self.book.number
         rest = views.rest(self.now)
         for name in self.living():
             echo = views.echoes.get(name, 0)
@@ -284,19 +285,22 @@
     def called(self, sender: str, call: Call) -> None:
         if sender != call.view[1]:
             return
-        if call.view >= self.views.highest:
-            self.told = max(self.told, call.book)
+        if call.view >= self.views.highest and (call.view, call.sent) >= self.told_by:
+            # The last word of the speaker, not the highest: one that was wrong once is right again.
+            self.told, self.told_by = call.book, (call.view, call.sent)
         grant = self.views.called(self.now, call.view, call.sent, self.book.number)
         if grant.given and call.echo:
-            self.views.forced(call.view, call.echo, call.rest)
+            self.views.forced(self.now, call.view, call.echo, call.rest)
         self.say(sender, Granted(grant))
         if self.told > self.book.number:
             self.say(sender, WantBook(self.book.number))
 
     def granted(self, sender: str, grant: object) -> None:
-        self.views.answered(sender, grant)
         if grant.book > self.book.number:
+            # It counts once what it knows is known here, and so told to all with the next call.
             self.say(sender, WantBook(self.book.number))
+            grant = msgspec.structs.replace(grant, given=False)
+        self.views.answered(self.now, sender, grant)
         if grant.lacks and self.views.proposed and grant.view == self.views.proposed.id:
             self.say(sender, Text(self.views.proposed))
 
@@ -617,7 +621,6 @@
             return False
         moves = {n for n, (was, now_is) in changed(self.book, book).items() if was.disk != now_is.disk}
         self.now, self.book = now, book
-        self.told = max(self.told, book.number)
         self.shelf.full.clear()
         for record in [kept.record for kept in self.shelf.all()] if moves else ():
             name = record.customer, record.key, record.token
@@ -646,7 +649,7 @@
         """As far as this router knows, if it speaks for all: who has not applied the last book."""
         if not self.views.proposed:
             return []
-        last = max([self.book.number, *self.views.books.values()])
+        last = self.book.number
         late = {n: self.views.books.get(n, 0) for n in self.living() if n != self.me}
         return [BookNotCurrent(f"policies {have}, not {last}", n) for n, have in late.items() if have < last]
 
--- a/hillchute/history/policy.py
+++ b/hillchute/history/policy.py
@@ -90,7 +90,7 @@
 
 def unfit(book: Book) -> str:
     """The first field that no holder could honour; empty for a sound book."""
-    if not 0 <= book.number < 1 << 53 or not 0 <= book.founded < 1 << 60:
+    if not 0 <= book.number <= 1_000_000_000 or not 0 <= book.founded < 1 << 60:
         return "number"
     if not 0 <= book.copies <= 8:
         return "copies"
--- a/hillchute/history/records.py
+++ b/hillchute/history/records.py
@@ -16,7 +16,7 @@
 OUT, FREED, FINISHED, KILLED = range(4)  # a run is out; it never began; how it ended
 STILL_OUT: Time = 300_000  # past its patience no submission of a query is out: longer than any closing time
 LOOK_AGAIN: Time = 10_000  # between two searches for what a customer's history could do without
-OVERHEAD = 400  # bytes that a record takes beside its rows, as measured
+OVERHEAD = 540  # bytes that a record takes beside its rows, as lab.history measures
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
--- a/hillchute/history/views.py
+++ b/hillchute/history/views.py
@@ -25,6 +25,7 @@
 LEASE: Time = 40_000  # four seconds: rides out three beats that the network lost
 DRIFT = 0.01  # part by which two monotonic clocks may differ over one lease; crystals keep to 0.0001
 BEAT: Time = 10_000  # between two calls
+AHEAD = 3_600_000  # milliseconds that a view's number, a time, may lie ahead of our clock
 STEADY: Time = 10_000  # so long who lives must be the same before a view is asked for: deaths come in crowds
 
 Id = tuple[int, str]  # of a view: a number that rises, and its speaker
@@ -100,29 +101,34 @@
         """Guards against what a life before this one promised and this one forgot."""
         return now >= self.born + 2 * LEASE * (1 + DRIFT)
 
+    def believable(self, now: Time, id: Id) -> bool:
+        """Guards against one that names the highest number of all, after which there could be no view."""
+        return id[0] <= now // 10 + AHEAD and id[1] in self.named
+
     def ask(self, now: Time, id: Id) -> Promise:
-        given = id > self.highest and self.may_grant(now) and id[1] in self.named
+        given = id > self.highest and self.may_grant(now) and self.believable(now, id)
         if given:
             self.highest = id
-        return Promise(id, given, self.highest, self.remembers, self.view)
+        return Promise(id, given, max(self.highest, self.view.id), self.remembers, self.view)
 
     def called(self, now: Time, id: Id, sent: Time, book: int) -> Grant:
         lacks = id != self.view.id
         given = not lacks and id >= self.highest and self.may_grant(now)
         if given:
             self.highest, self.remembers = id, True
-        return Grant(id, sent, now, given, lacks, self.highest, book)
+        # Guards against a view here that nobody calls: who does call learns that it needs a higher number.
+        return Grant(id, sent, now, given, lacks, max(self.highest, self.view.id), book)
 
-    def take_up(self, view: View) -> bool:
+    def take_up(self, now: Time, view: View) -> bool:
         """A view's text has come. Whether it holds now where another did; a lower one is none any more."""
-        if view.id < self.highest or view.id <= self.view.id:
+        if view.id < self.highest or view.id <= self.view.id or not self.believable(now, view.id):
             return False
         self.view, self.until = view, 0
         return True
 
-    def forced(self, id: Id, at: Time, rest: Time) -> None:
+    def forced(self, now: Time, id: Id, at: Time, rest: Time) -> None:
         """The speaker says that the view was in force for so long still, after we granted it at `at`."""
-        if id == self.view.id and self.view.members.get(self.me) == self.life:
+        if at <= now and id == self.view.id and self.view.members.get(self.me) == self.life:
             self.until = max(self.until, at + min(rest, LEASE))
 
     def in_force(self, now: Time) -> bool:
@@ -168,14 +174,15 @@
         if sender not in self.named or promise.asked != self.asking:
             return False
         if not promise.given:
-            if promise.highest >= self.asking:
+            if promise.highest > self.asking and self.believable(now, promise.highest):
                 self.highest = max(self.highest, (promise.highest[0], ""))
-                self.asking = None if promise.highest > self.asking else self.asking
+                self.asking = None
             return False
         self.promises[sender] = promise
         if len(self.promises) < most_of(len(self.named)) or self.me not in self.promises:
             return False
-        last = max((p.adopted for p in self.promises.values()), key=lambda view: view.id)
+        believed = [p.adopted for p in self.promises.values() if self.believable(now, p.adopted.id)]
+        last = max((*believed, NONE), key=lambda view: view.id)
         known = sum(p.remembers for p in self.promises.values()) >= most_of(len(self.named))
         went_on = (last.id, last.members, last.copies) if known and last.number else (None, {}, 0)
         first = not any(p.remembers for p in self.promises.values())
@@ -184,15 +191,16 @@
         self.granted, self.echoes, self.promises = {}, {}, {}
         return True
 
-    def answered(self, sender: str, grant: Grant) -> None:
-        if sender not in self.named:
+    def answered(self, now: Time, sender: str, grant: Grant) -> None:
+        if sender not in self.named or grant.sent > now:
             return
-        self.books[sender] = max(self.books.get(sender, 0), grant.book)
-        if grant.highest > self.highest:
+        self.books[sender] = grant.book
+        if grant.highest > self.highest and self.believable(now, grant.highest):
             self.highest = (grant.highest[0], "")  # known of, not promised
         if self.proposed and grant.view == self.proposed.id and grant.given:
-            self.granted[sender] = max(self.granted.get(sender, 0), int(grant.sent + LEASE * (1 - DRIFT)))
-            self.echoes[sender] = max(self.echoes.get(sender, 0), grant.at)
+            until = int(grant.sent + LEASE * (1 - DRIFT))
+            if until >= self.granted.get(sender, 0):
+                self.granted[sender], self.echoes[sender] = until, grant.at
 
     def rest(self, now: Time) -> Time:
         """How long what is proposed is in force still: by the grant that makes more than half."""
--- a/hillchute/lab/history_net.py
+++ b/hillchute/lab/history_net.py
@@ -27,12 +27,20 @@
 
 
 class HistoryNet:
-    """`loss`, `twice`: parts of the messages; `never`: parts of the claims whose run is given up unsent."""
+    """`loss`, `twice`: parts of the messages; `never`: of the claims, whose run is given up unsent; `fails`:
+    of the runs, that are killed."""
 
     def __init__(
-        self, seed: int, count: int, book: Book, loss: float = 0.0, twice: float = 0.0, never: float = 0.0
+        self,
+        seed: int,
+        count: int,
+        book: Book,
+        loss: float = 0.0,
+        twice: float = 0.0,
+        never: float = 0.0,
+        fails: float = 0.05,
     ) -> None:
-        self.chance, self.now = random.Random(seed), EPOCH
+        self.seed, self.chance, self.now, self.fails = seed, random.Random(seed), EPOCH, fails
         self.loss, self.twice, self.never, self.book = loss, twice, never, book
         self.names = [f"n{n}" for n in range(count)]
         self.keepers: dict[str, Keeper] = {}
@@ -50,7 +58,7 @@
         self.said: Counter[str] = Counter()
         self.rule: Counter[str] = Counter()  # broken
         self.taken: dict[str, Time] = {}  # when the last run of a token was asked for
-        self.endings: list[tuple[Time, int, tuple[str, int, int], str]] = []  # of runs that engines have
+        self.endings: list[tuple[Time, int, tuple[str, int, int], str, int]] = []  # of runs that engines have
         self.forgotten: list[tuple[Time, Time | None]] = []  # before when; since when none may answer from it
         self.waited: list[Time] = []
         for name in self.names:
@@ -186,30 +194,32 @@
 
     def run(self, claim: tuple[str, int, int], token: str, key: str) -> None:
         """The engine runs it, whatever becomes of the router; its answer finds the router, or does not."""
-        if self.chance.random() < self.never:
+        # Each run has chance of its own: what happens to one changes no other.
+        chance = random.Random(f"{self.seed}:{token}:{len(self.runs[token])}")
+        if chance.random() < self.never:
             self.ended(claim, FREED)
             return
         if self.runs[token] and self.bound(token):
             self.rule["ran twice"] += 1
         self.taken[token] = self.open[claim][2]
-        took = self.chance.randint(300, 1 * SECOND)
+        took = chance.randint(300, 1 * SECOND)
         span = self.now, self.now + took
         if any(begin < span[1] and span[0] < end for begin, end in self.keys[key]):
             self.rule["out of order"] += 1
         self.runs[token].append(span)
         self.keys[key].append(span)
         self.order += 1
-        heappush(self.endings, (span[1], self.order, claim, token))
+        how = KILLED if chance.random() < self.fails else FINISHED
+        heappush(self.endings, (span[1], self.order, claim, token, how))
 
     def ends(self) -> None:
         """Runs that are over by now, where their routers are there to hear it."""
         again = []
         while self.endings and self.endings[0][0] <= self.now:
-            _, order, claim, token = heappop(self.endings)
+            _, order, claim, token, how = heappop(self.endings)
             if claim[0] in self.stopped and self.lives[claim[0]] == claim[1]:
-                again.append((self.now + STEP, order, claim, token))
+                again.append((self.now + STEP, order, claim, token, how))
             elif claim in self.open:
-                how = KILLED if self.chance.random() < 0.05 else FINISHED
                 self.ended(claim, how, f"rows of {token}".encode() if how == FINISHED else None)
         for ending in again:
             heappush(self.endings, ending)
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -11,7 +11,7 @@
 from hillchute.history.policy import MS, Book, Forget, Policy, unfit
 from hillchute.history.records import FINISHED, FREED, KILLED, OUT, Kept, Record, Shelf
 from hillchute.history.verdict import STILL_OUT, Verdict, judge
-from hillchute.history.views import DRIFT, LEASE, NONE, STEADY, View, Views, most_of
+from hillchute.history.views import AHEAD, DRIFT, LEASE, NONE, STEADY, View, Views, most_of
 from hillchute.lab.history_net import EPOCH, SECOND, HistoryNet, founded, storm
 
 KEEPS = Policy(rows=True, least_ms=20_000, most_ms=60_000)
@@ -167,9 +167,9 @@
 # ---- views ----
 
 
-def test_router_that_restarted_promises_and_grants_nothing_for_two_leases():
+def test_router_that_restarted_grants_nothing_for_two_leases():
     views = Views("a", 2, ["a", "b", "c"], EPOCH)
-    assert views.take_up(View(5, "b", {"a": 2, "b": 1}))
+    assert views.take_up(EPOCH * 2, View(5, "b", {"a": 2, "b": 1}))
     soon, later = EPOCH + 2 * LEASE, int(EPOCH + 2 * LEASE * (1 + DRIFT)) + 1
     assert not views.called(soon, (5, "b"), 0, 0).given
     assert not views.ask(soon, (6, "b")).given
@@ -180,26 +180,36 @@
 def test_what_was_promised_to_a_later_view_is_granted_to_no_earlier_one():
     now = EPOCH + 3 * LEASE
     views = Views("a", 1, ["a", "b", "c"], EPOCH)
-    views.take_up(View(5, "b", {"a": 1}))
+    views.take_up(EPOCH * 2, View(5, "b", {"a": 1}))
     assert views.called(now, (5, "b"), 0, 0).given
     assert views.ask(now, (7, "c")).given
     assert not views.called(now, (5, "b"), 0, 0).given
     assert not views.ask(now, (6, "b")).given
-    assert not views.take_up(View(6, "b", {"a": 1}))
-    assert views.take_up(View(7, "c", {"a": 1}))
+    assert not views.take_up(EPOCH * 2, View(6, "b", {"a": 1}))
+    assert views.take_up(EPOCH * 2, View(7, "c", {"a": 1}))
 
 
 def test_lease_is_counted_from_before_it_was_granted():
     views = Views("a", 1, ["a", "b", "c"], EPOCH)
-    views.take_up(View(5, "b", {"a": 1}))
-    views.forced((5, "b"), EPOCH, LEASE // 2)
+    views.take_up(EPOCH * 2, View(5, "b", {"a": 1}))
+    views.forced(EPOCH, (5, "b"), EPOCH, LEASE // 2)
     assert views.in_force(EPOCH + LEASE // 2 - 1) and not views.in_force(EPOCH + LEASE // 2)
-    views.forced((5, "b"), EPOCH, 100 * LEASE)
+    views.forced(EPOCH, (5, "b"), EPOCH, 100 * LEASE)
     assert not views.in_force(EPOCH + LEASE)
-    views.forced((4, "b"), EPOCH + LEASE, LEASE)
+    views.forced(EPOCH + LEASE, (4, "b"), EPOCH + LEASE, LEASE)
+    views.forced(EPOCH + LEASE, (5, "b"), EPOCH + 9 * LEASE, LEASE)
     assert not views.in_force(EPOCH + LEASE)
 
 
+def test_number_far_ahead_of_the_clock_ends_no_views():
+    views, far = Views("a", 1, ["a", "b", "c"], EPOCH), EPOCH // 10 + 2 * AHEAD
+    now = EPOCH + 3 * LEASE
+    assert not views.ask(now, (far, "b")).given
+    assert not views.take_up(now, View(far, "b", {"a": 1}))
+    assert not views.called(now, (far, "b"), now, 0).given
+    assert views.ask(now, (EPOCH // 10, "b")).given
+
+
 def speaker(remember: int) -> tuple[Views, View, dict[str, int]]:
     """One of five that has asked for a view, and been answered by three, so many of whom remember one."""
     living = dict.fromkeys("abcde", 1)
@@ -210,7 +220,7 @@
     for n, name in enumerate("abc"):
         granter = Views(name, 1, living, EPOCH)
         if n < remember:
-            granter.take_up(old)
+            granter.take_up(EPOCH * 2, old)
             granter.called(now, (5, "e"), 0, 0)
         done = views.promised(now + STEADY, name, granter.ask(now + STEADY, views.asking), living, 2)
         assert done == (n == 2)
@@ -232,8 +242,8 @@
     now = views.proposed_at
     for name in "abc":
         granter = Views(name, 1, living, EPOCH)
-        granter.take_up(view)
-        views.answered(name, granter.called(now, view.id, now, 0))
+        granter.take_up(EPOCH * 2, view)
+        views.answered(now, name, granter.called(now, view.id, now, 0))
     assert 0 < views.rest(now) < LEASE and views.rest(now + LEASE) == 0
     assert views.look(now + LEASE, living) == "call"
     assert views.look(now + 2 * LEASE, living) == "ask" and views.proposed is None
