Errors of configuration, operator file and event bus under one roof, with what to do

hillchute/errors.py has all types an operator may meet; the log has them as error and remedy (reload, bus_lost, history lines), a refused start prints the remedy. tests/test_errors.py: each is raised by a path through the program, and each remedy names fields, variables, signals and commands that exist. An unknown engine state in the configuration's list was a traceback, and is a fault of that key now.

--- a/hillchute/errors.py
+++ b/hillchute/errors.py
@@ -20,6 +20,30 @@
         return {"error": type(self).__name__, "what": self.what, "where": self.where, "remedy": self.remedy}
 
 
+class BadConfiguration(HillchuteError):
+    """The platform's configuration can't be used; `where` is the key, by its full path."""
+
+    remedy = "mend that key in the file that EDGE_CONFIG names, then start again or send SIGHUP"
+
+
+class BadRecord(HillchuteError, ValueError):
+    """An operator file can't be used: all faults of it, one a line: file:line: path: expected ..., got ..."""
+
+    remedy = (
+        "mend the file that HILLCHUTE_OPERATOR names, see it through with `hillchute check`, then start again"
+        " or send SIGHUP; a running router goes on with what it read before"
+    )
+
+
+class BusUnreadable(HillchuteError):
+    """The event bus says what its protocol does not know."""
+
+    remedy = (
+        "see that `bus` in the file that EDGE_CONFIG names is the address of an event bus, and which version"
+        " it is of; the router goes on with the last list and tries again"
+    )
+
+
 class DatagramDropped(HillchuteError):
     """A datagram between routers that can't be believed; `where` is the peer, if the mark was its own."""
 
--- a/hillchute/membership/event_bus.py
+++ b/hillchute/membership/event_bus.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from hillchute.decision.interface import Listing
+from hillchute.errors import BusUnreadable
 
 LONGEST_FRAME = 27 * 100_000  # bytes; no fleet is larger, and an endless length must not fill the memory
 FRAME = struct.Struct(">IQB")
@@ -16,10 +17,6 @@
 HEAD = FRAME.size - 4  # what the length counts beside the payload
 
 
-class Unreadable(Exception):
-    """Bytes or values that are not what the protocol says."""
-
-
 class Entry(NamedTuple):
     """One engine: what the decisions need of it, and where it listens."""
 
@@ -59,7 +56,7 @@
         length, number, kind = FRAME.unpack_from(self.buffer)
         size = length - HEAD
         if not 0 <= size <= LONGEST_FRAME or kind > 2 or size % RECORD.size:
-            raise Unreadable(f"a frame of kind {kind} and length {length}")
+            raise BusUnreadable(f"a frame of kind {kind} and length {length}")
         if len(self.buffer) < FRAME.size + size:
             return None
         payload = bytes(self.buffer[FRAME.size : FRAME.size + size])
@@ -71,7 +68,7 @@
 def entry(fields: tuple) -> Entry:
     engine, host, port, state, zone, kind, cell, weight, started = fields
     if state >= len(STATES):
-        raise Unreadable(f"engine {engine_name(engine)} in state {state}")
+        raise BusUnreadable(f"engine {engine_name(engine)} in state {state}")
     listing = Listing(engine, kind, cell, zone, started * 10, STATES[state], weight / 1000)
     return Entry(listing, ".".join(str(part) for part in host), port)
 
--- a/hillchute/membership/follower.py
+++ b/hillchute/membership/follower.py
@@ -8,6 +8,7 @@
 import anyio
 import anyio.abc
 
+from hillchute.errors import BusUnreadable
 from hillchute.log import Log
 from hillchute.membership import event_bus
 
@@ -42,9 +43,10 @@
             while scope in self.scopes:
                 try:
                     await self.hear(address, scope)
-                except (*GONE, TimeoutError, event_bus.Unreadable) as fault:
+                except (*GONE, TimeoutError, BusUnreadable) as fault:
                     why = str(fault) or type(fault).__name__
-                    self.log.write("bus_lost", why=why, last=self.last())
+                    told = fault.told if isinstance(fault, BusUnreadable) else {}
+                    self.log.write("bus_lost", why=why, last=self.last(), **told)
                 if scope is not self.scopes[-1]:
                     self.scopes.remove(scope)  # the event bus has moved: nothing more is told here
                     return
--- a/hillchute/operator/records.py
+++ b/hillchute/operator/records.py
@@ -14,11 +14,9 @@
 import orjson
 from lark import Lark, Token, Tree, UnexpectedInput
 
-DEEPEST = 32  # records in records: a file that refers to itself ends here
-
+from hillchute.errors import BadRecord
 
-class BadRecord(ValueError):
-    """What is wrong with a file, all faults of it, one a line: file:line: path: expected ..., got ..."""
+DEEPEST = 32  # records in records: a file that refers to itself ends here
 
 
 @dataclass(frozen=True)
--- a/hillchute/router/__main__.py
+++ b/hillchute/router/__main__.py
@@ -41,8 +41,9 @@
 
             read_again = partial(reading.read, operator_file)
             operator = read_again()
-    except (config.BadConfiguration, ValueError) as fault:
-        print(f"hillchute: {fault}", file=sys.stderr)
+    except (HillchuteError, ValueError) as fault:
+        remedy = f"; {fault.remedy}" if isinstance(fault, HillchuteError) else ""
+        print(f"hillchute: {fault}{remedy}", file=sys.stderr)
         return 2
     refused: list[Exception] = []
     try:
--- a/hillchute/router/config.py
+++ b/hillchute/router/config.py
@@ -12,6 +12,7 @@
 import orjson
 
 from hillchute.catalog import flatten, translate
+from hillchute.errors import BadConfiguration, BusUnreadable
 from hillchute.membership import event_bus
 
 SECOND = 10_000  # tenths of a millisecond
@@ -23,10 +24,6 @@
 LONGEST_PACKET = 65_536  # bytes of a client's packet: statements of this platform are far shorter
 
 
-class BadConfiguration(Exception):
-    """What is wrong, with the key's full path."""
-
-
 class Station(NamedTuple):
     """What this router is told at its start."""
 
@@ -44,7 +41,7 @@
 
 
 def bad(path: str, what: str) -> BadConfiguration:
-    return BadConfiguration(f"{path}: {what}")
+    return BadConfiguration(what, path)
 
 
 def get(table: Mapping[str, object], path: str, kind: type | tuple[type, ...], default: object = None):
@@ -147,7 +144,7 @@
             try:
                 get(item, name, kind)
             except BadConfiguration as fault:
-                raise BadConfiguration(f"{here}.{fault}") from None
+                raise bad(f"{here}.{fault.where}", fault.what) from None
         if item["semantics"] not in ("repeatable", "by_key", "once"):
             raise bad(f"{here}.semantics", f"unknown: {item['semantics'][:40]!r}")
     for path in ("limits.connect_timeout_ns", "limits.keepalive_ns"):
@@ -165,5 +162,5 @@
     kinds = get(table, "settings.kinds", list, [])
     try:
         return offset, tuple(event_bus.from_json(table["known"], zones, kinds))
-    except (KeyError, TypeError, ValueError, AttributeError) as fault:
+    except (BusUnreadable, KeyError, TypeError, ValueError, AttributeError) as fault:
         raise bad("known.batch", f"{type(fault).__name__}: {fault}") from None
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -23,6 +23,7 @@
 from hillchute.decision.teamwork import Teamwork
 from hillchute.engines import words
 from hillchute.engines.line.links import Link, Links
+from hillchute.errors import BadConfiguration, HillchuteError
 from hillchute.fronts.events import FIRST_CALL
 from hillchute.fronts.mysql.door import Client, Door
 from hillchute.log import Log
@@ -62,7 +63,7 @@
         read_operator: Callable[[], Mapping[str, object]] | None = None,
     ) -> None:
         """`operator`: what holds of the operator file; nothing of it is on without one. `read_operator` reads
-        it again, and raises ValueError where it can't be used."""
+        it again, and raises BadRecord where it can't be used."""
         self.station = station
         self.log = log
         self.lifecycle = lifecycle
@@ -374,15 +375,16 @@
         """A new configuration under load. One that can't be read changes nothing."""
         try:
             station = config.read()
-        except config.BadConfiguration as fault:
-            self.log.write("reload", kept="the running configuration", why=str(fault))
+        except BadConfiguration as fault:
+            self.log.write("reload", kept="the running configuration", why=str(fault), **fault.told)
             return
         restart = config.needs_restart(self.station, station)
         if self.read_operator is not None:
             try:
                 restart += self.renew(self.read_operator())
             except ValueError as fault:
-                self.log.write("reload", kept="the running operator file", why=str(fault))
+                told = fault.told if isinstance(fault, HillchuteError) else {}
+                self.log.write("reload", kept="the running operator file", why=str(fault), **told)
         self.log.write("reload", bus=list(station.bus), needs_restart=restart)
         self.station = self.station._replace(bus=station.bus)
         for news in station.known:
--- /dev/null
+++ b/tests/test_errors.py
@@ -0,0 +1,182 @@
+"""Each type of error is raised by a path through the program, and its remedy names something that exists."""
+
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import orjson
+import pytest
+
+from hillchute import errors
+from hillchute.errors import HillchuteError
+from hillchute.history.disk import Disk
+from hillchute.lab import deployment
+from hillchute.lab.history_net import EPOCH
+from hillchute.membership import event_bus
+from hillchute.operator import reading
+from hillchute.peers import codec
+from hillchute.peers.link import Address, Link
+from hillchute.peers.node import Node
+from hillchute.router import config
+from hillchute.router.peering import Peering
+from hillchute.router.remembering import Remembering
+
+KEY = b"k" * 32
+ROOT = Path(__file__).parents[1]
+
+
+class Kept:
+    """A log that keeps what it is told."""
+
+    def __init__(self):
+        self.lines = []
+
+    def write(self, event, **fields):
+        self.lines.append({"event": event, **fields})
+
+    def errors(self):
+        return {line["error"]: line for line in self.lines if "error" in line}
+
+
+def bad_configuration(tmp_path):
+    path = tmp_path / "c.json"
+    path.write_text("{}")
+    os.environ["EDGE_CONFIG"] = str(path)
+    try:
+        config.read()
+    finally:
+        del os.environ["EDGE_CONFIG"]
+
+
+def bad_record(tmp_path):
+    reading.read(tmp_path / "none.cue")
+
+
+def bus_unreadable(tmp_path):
+    list(event_bus.Decoder().feed(event_bus.FRAME.pack(5, 0, 250) + b"x" * 50))
+
+
+def datagram_dropped(tmp_path):
+    codec.decode(b"", "a", {"b": KEY})
+
+
+def peers_not_reachable(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        node = Node("a", 1, {}, 1, 0, None)
+        none = [None] * 4
+        Link(Address(*taken.getsockname()), {}, node, *none).open()
+
+
+def disk_not_usable(tmp_path):
+    Disk(tmp_path / "none" / "h.db")
+
+
+@pytest.mark.parametrize(
+    ("error", "path"),
+    [
+        (errors.BadConfiguration, bad_configuration),
+        (errors.BadRecord, bad_record),
+        (errors.BusUnreadable, bus_unreadable),
+        (errors.DatagramDropped, datagram_dropped),
+        (errors.PeersNotReachable, peers_not_reachable),
+        (errors.DiskNotUsable, disk_not_usable),
+    ],
+)
+def test_type_is_raised_by_a_path_and_says_what_where_and_what_to_do(tmp_path, error, path):
+    with pytest.raises(error) as fault:
+        path(tmp_path)
+    assert fault.value.what and fault.value.remedy == error.remedy
+    assert fault.value.told.keys() == {"error", "what", "where", "remedy"}
+
+
+def lists_differ(log, tmp_path):
+    station = config.Station("a", "", 0, 1, 1, 1, ("", 0), 0, (), {"parties.count": 0}, 1)
+    peers = {"name": "a", "listen": "127.0.0.1:1", "others": []}
+    peering = Peering({"peers": peers}, station, None, log, lambda: None)
+    peering.company.unlike = {"b"}
+    peering.tell_counts(0)
+
+
+def remembering(log, tmp_path, **about):
+    text = "history: {number: 2, default: {}}\n" + 'peers: {name: "a", listen: "127.0.0.1:1", others: []}'
+    settings = reading.hold(text)["history"] | about
+    node = Node("a", EPOCH // 10, {"b": KEY}, 1, EPOCH, None)
+    return Remembering(settings, node, lambda: EPOCH, log, lambda *about: None, lambda: None), settings
+
+
+def book_not_taken(log, tmp_path):
+    held, settings = remembering(log, tmp_path)
+    held.renew(settings | {"number": 1})
+
+
+def book_not_current(log, tmp_path):
+    held, _ = remembering(log, tmp_path)
+    held.keeper.living = lambda: {"a": 1, "b": 1}
+    held.keeper.views.proposed, held.keeper.views.books = object(), {"b": 1}
+    held.tell(EPOCH)
+
+
+def disk_in_the_log(log, tmp_path):
+    remembering(log, tmp_path, disk=str(tmp_path / "none" / "h.db"))
+
+
+@pytest.mark.parametrize(
+    ("error", "path"),
+    [
+        (errors.ListsDiffer, lists_differ),
+        (errors.BookNotTaken, book_not_taken),
+        (errors.BookNotCurrent, book_not_current),
+        (errors.DiskNotUsable, disk_in_the_log),
+    ],
+)
+def test_type_is_in_the_log_with_its_remedy(tmp_path, error, path):
+    log = Kept()
+    path(log, tmp_path)
+    line = log.errors()[error.__name__]
+    assert line["what"] and line["remedy"] == error.remedy
+
+
+def kinds():
+    return [
+        kind for kind in vars(errors).values() if isinstance(kind, type) and issubclass(kind, HillchuteError)
+    ]
+
+
+def test_every_type_is_caused_here():
+    source = Path(__file__).read_text()
+    assert all(f"(errors.{kind.__name__}, " in source for kind in kinds() if kind is not HillchuteError)
+
+
+def test_remedies_name_what_exists():
+    paths = {path.replace("?", "") for path, _, _ in reading.fields()}
+    names = {re.sub(r"\[.*?\]", "", part) for path in paths for part in (path, path.split(".")[-1])}
+    environ = {"EDGE_CONFIG", "HILLCHUTE_OPERATOR"}
+    sources = "".join(file.read_text() for file in (ROOT / "hillchute").rglob("*.py"))
+    assert all(f'"{name}"' in sources for name in environ)
+    commands = {"hillchute check"}
+    for kind in kinds():
+        if kind is HillchuteError:
+            continue
+        assert kind.remedy, kind
+        for said in re.findall(r"`([^`]+)`", kind.remedy):
+            known = said in names or said in commands or any(path.startswith(said) for path in names)
+            assert known or said in ("bus",), f"{kind.__name__}: {said}"
+        for word in re.findall(r"\b[A-Z][A-Z_]{4,}\b", kind.remedy):
+            assert word in environ or hasattr(signal, word), f"{kind.__name__}: {word}"
+
+
+def test_start_that_is_refused_says_what_to_do(tmp_path):
+    (tmp_path / "c.json").write_bytes(orjson.dumps(deployment.table()))
+    (tmp_path / "o.cue").write_text("peers: 5")
+    environ = os.environ | {
+        "EDGE_CONFIG": str(tmp_path / "c.json"),
+        "EDGE_NAME": "toy",
+        "HILLCHUTE_OPERATOR": str(tmp_path / "o.cue"),
+    }
+    command = [sys.executable, "-m", "hillchute.router"]
+    done = subprocess.run(command, env=environ, capture_output=True, text=True, timeout=60, cwd=ROOT)
+    assert done.returncode == 2 and "o.cue:1: peers" in done.stderr and errors.BadRecord.remedy in done.stderr
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -16,6 +16,7 @@
 from hillchute.engines.line import wire
 from hillchute.engines.line.exchange import Exchange
 from hillchute.engines.line.wire import Answer
+from hillchute.errors import BadConfiguration, BusUnreadable
 from hillchute.fronts import seats
 from hillchute.fronts.mysql import packets as mysql
 from hillchute.log import MOST_ALIKE, Log
@@ -198,7 +199,7 @@
 
 
 def test_unreadable_frame_is_said_to_be():
-    with pytest.raises(event_bus.Unreadable):
+    with pytest.raises(BusUnreadable):
         list(event_bus.Decoder().feed(event_bus.FRAME.pack(9 + 5, 1, 2)))
 
 
@@ -260,7 +261,7 @@
     for name in parents:
         place = place[name]
     place[last] = value
-    with pytest.raises(config.BadConfiguration, match=path.replace(".", r"\.")):
+    with pytest.raises(BadConfiguration, match=path.replace(".", r"\.")):
         config.station(table, {})
 
 
@@ -605,9 +606,7 @@
 def test_reload_moves_the_event_bus_and_goes_on_from_the_last_number(router, station, monkeypatch):
     async def run():
         buses = [socket.create_server(("127.0.0.1", 0)) for _ in range(2)]
-        read_again = iter(
-            [config.BadConfiguration("bus: missing"), station._replace(bus=buses[1].getsockname())]
-        )
+        read_again = iter([BadConfiguration("missing", "bus"), station._replace(bus=buses[1].getsockname())])
 
         def read():
             found = next(read_again)
