--- a/hillchute/fronts/flight/server.py
+++ b/hillchute/fronts/flight/server.py
@@ -20,7 +20,7 @@
 from hillchute.fronts import events
 from hillchute.fronts.flight import answers, catalog
 from hillchute.fronts.flight.answers import Status
-from hillchute.fronts.flight.identity import Gate, Refused
+from hillchute.fronts.flight.identity import ANYBODY, Gate, Refused
 from hillchute.fronts.flight.tickets import Full, NotHeld, Table
 from hillchute.log import Log
 from hillchute.protocol import Flight_pb2 as flight
@@ -359,7 +359,8 @@
 
     async def ask(self, call: Call, request: Request, since: int) -> None:
         """Hands a query in and waits for its answer, or for the first of its stream."""
-        self.handle(events.Asked(call.number, request, since))
+        customer = "" if call.owner == ANYBODY else call.owner
+        self.handle(events.Asked(call.number, request._replace(customer=customer), since))
         await call.done.wait()
         if call.rows is None and call.stream is None:
             raise Ended(call.status)
--- a/hillchute/operator/schema.cue
+++ b/hillchute/operator/schema.cue
@@ -87,7 +87,7 @@
 	disk?: string
 	// The policy of all customers that have none of their own.
 	default: #Keep
-	// Customers with a policy of their own.
+	// Customers with a policy of their own: users of the Flight front by their names.
 	customers: [...#Customer]
 	// What is to be forgotten; leave it here as long as copies of it may come back.
 	forget: [...#Forget]
--- a/hillchute/router/events.py
+++ b/hillchute/router/events.py
@@ -132,6 +132,7 @@
 
     id: str
     number: int
+    customer: str
     key: str
     token: str
     left: Time
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -171,7 +171,8 @@
             q.claim = "asked"
             # Those without a key have no order: each is a key of its own.
             key, ordered = request.key or request.token, group in self.ordered
-            self.desk.ask(Claim(request.id, q.number, key, request.token, max(0, due - now), ordered))
+            about = (request.customer, key, request.token, max(0, due - now), ordered)
+            self.desk.ask(Claim(request.id, q.number, *about))
             return
         self.hand_on(q)
 
--- a/hillchute/router/remembering.py
+++ b/hillchute/router/remembering.py
@@ -64,9 +64,11 @@
 
     # ---- the reducer's queries ----------------------------------------------------------------------
 
-    def claim(self, id: str, number: int, key: str, token: str, left: Time, ordered: bool) -> None:
+    def claim(
+        self, id: str, number: int, customer: str, key: str, token: str, left: Time, ordered: bool
+    ) -> None:
         now = self.clock()
-        mine = self.keeper.claim(now, "", key, token, now + left, ordered)
+        mine = self.keeper.claim(now, customer, key, token, now + left, ordered)
         self.numbers[id, number], self.queries[mine] = mine, (id, number)
         self.pass_on()
 
--- a/hillchute/statements/request.py
+++ b/hillchute/statements/request.py
@@ -30,6 +30,7 @@
     cost: int | None = None
     memory: float = 0.0
     key: str | None = None
+    customer: str = ""  # as the front knows it; "" where it tells nobody apart
 
     @property
     def tables(self) -> int | None:
--- a/tests/test_remembering.py
+++ b/tests/test_remembering.py
@@ -50,7 +50,7 @@
     def ask(self, token="ab", now=0, patience=5 * SECOND):
         self.count += 1
         id = f"{self.count:016x}"
-        request = Request(id, self.group, patience, b"UPDATE t SET a = 1", token, 1000, 1.0, "cd")
+        request = Request(id, self.group, patience, b"UPDATE t SET a = 1", token, 1000, 1.0, "cd", "a")
         return id, self.reducer.reduce(events.Asked(self.count, request, now), now)
 
     def judged(self, id, verdict, rows=None, now=10):
@@ -66,7 +66,8 @@
     rig = Rig()
     id, said = rig.ask()
     (claim,) = of(said, events.Claim)
-    assert (claim.id, claim.key, claim.token) == (id, "cd", "ab") and 0 < claim.left <= 5 * SECOND
+    assert (claim.id, claim.customer, claim.key, claim.token) == (id, "a", "cd", "ab")
+    assert 0 < claim.left <= 5 * SECOND
     assert id not in rig.module.queries
     rig.judged(id, "RUN")
     assert id in rig.module.queries
