History: a claim that waits is judged again when what it waits for ends; retries slow down

Polling each 0.1 s cost as many messages as there are open keyed queries, and each handover of a key up to as long. A run whose end nobody told for its patience and 30 s counts as killed also where its router lives: a claim given up in a long outage would have held its key until that router restarts.

--- a/hillchute/history/keeper.py
+++ b/hillchute/history/keeper.py
@@ -45,6 +45,10 @@
 from hillchute.history.views import BEAT, LEASE, NONE, Id, View, Views
 
 AGAIN: Time = 1_000  # after 0.1 s without an answer a message goes again: some ways there and back
+SLOW, SLOWEST = 2, 5  # doublings of that time: a claim that waits, with a client behind it; an ending
+WAITING = (
+    1024  # claims that are looked at again as soon as what they wait for ends; more ask again themselves
+)
 FETCHES = 64  # slots asked for at once: about a quarter of a second of a loaded loop's messages
 PART = 1 << 20  # bytes of a slot that go in one message
 SWEEPS = 2  # times within the time for erasing that each slot is looked through
@@ -87,6 +91,7 @@
     record: Record | None = None  # as granted
     end: Record | None = None  # as it ended, until the holders have it
     sent: Time = 0
+    tries: int = 0
 
 
 class Round(msgspec.Struct):
@@ -125,6 +130,7 @@
         self.rounds: dict[int, Round] = {}
         self.freed: dict[tuple[str, int, int], Time] = {}
         self.given: set[int] = set()  # slots that somebody has fetched
+        self.waiting: dict[tuple[str, str, str, int], Claim] = {}  # by key, asker and its number
         self.mine: dict[int, Mine] = {}
         self.lines: dict[tuple[str, str], deque[int]] = {}  # of claims of one key that are not granted
         self.numbers = 0
@@ -180,12 +186,13 @@
         blank = Record(
             mine.customer, mine.key, mine.token, 0, 0, 0, self.me, self.life, mine.number, 0, FREED, None
         )
+        mine.tries = 0
         keeps = self.book.of(mine.customer).rows
         mine.end = msgspec.structs.replace(mine.record or blank, state=state, rows=rows if keeps else None)
         self.send_end(mine)
 
     def send_claim(self, mine: Mine) -> None:
-        mine.sent = self.now
+        mine.sent, mine.tries = self.now, mine.tries + 1
         first = self.first(mine.customer, mine.key)
         if first is not None:
             left = max(0, mine.due - self.now)
@@ -193,7 +200,7 @@
             self.say(first, Claim(view, mine.number, self.life, *about, left, mine.ordered))
 
     def send_end(self, mine: Mine) -> None:
-        mine.sent = self.now
+        mine.sent, mine.tries = self.now, mine.tries + 1
         first = self.first(mine.customer, mine.key)
         if first is not None:
             self.say(first, End(self.views.view.id, mine.end))
@@ -307,6 +314,7 @@
     def view_taken_up(self) -> None:
         self.given.clear()
         self.known.clear()
+        self.waiting.clear()
         self.taken_up.append(self.views.view)
         self.rounds.clear()  # what waits for copies in an earlier view is asked for again
         self.counts["views"] += 1
@@ -442,6 +450,8 @@
     def claimed(self, sender: str, claim: Claim) -> None:
         verdict, why, kept = self.judge(sender, claim)
         if verdict is not Verdict.RUN:
+            if verdict is Verdict.WAIT and len(self.waiting) < WAITING:
+                self.waiting[claim.customer, claim.key, sender, claim.number] = claim
             record = kept.record if kept is not None and verdict is Verdict.ANSWER else None
             self.say(sender, Judged(claim.number, claim.life, verdict.value, why, record))
             return
@@ -481,10 +491,8 @@
         return *verdict, kept
 
     def over(self, kept: Kept) -> bool:
-        """Whether a run whose router is gone can't be out any more."""
-        record = kept.record
-        gone = self.living().get(record.owner) != record.life
-        return gone and self.now - kept.since > record.patience + STILL_OUT
+        """Whether a run can't be out any more, though its router never said how it ended."""
+        return self.now - kept.since > kept.record.patience + STILL_OUT
 
     def unable(self, number: int, view: Id) -> tuple[str, Slot]:
         """Why this router can't speak for a slot now; empty if it can."""
@@ -572,6 +580,9 @@
         age = self.now - kept.since if kept is not None else 0
         self.shelf.put(record, self.now, age, self.book)
         self.copy(sender, record, True)
+        for name in [n for n in self.waiting if n[:2] == (record.customer, record.key)]:
+            if name in self.waiting:  # the first of them may take its turn, and the others wait on
+                self.claimed(name[2], self.waiting.pop(name))
 
     # ---- as the one who asked -------------------------------------------------------------------------
 
@@ -708,15 +719,16 @@
 
     def look_again(self, mine: Mine) -> None:
         if mine.end is not None:
-            if self.now - mine.sent >= AGAIN:
+            if self.now - mine.sent >= AGAIN << min(mine.tries, SLOWEST):
                 self.send_end(mine)
-            if self.now - mine.due > FORGET_FREED:
-                self.mine.pop(mine.number, None)  # the holders take its run for over by now
+            if mine.record is None and self.now - mine.due > FORGET_FREED:
+                self.mine.pop(mine.number, None)  # the holders take its run, if any, for over by now
         elif mine.record is None and self.now >= mine.due:
             self.verdicts.append((mine.number, Verdict.DEFER, "no verdict in time", None))
             self.end(mine, FREED)
-        elif mine.record is None and self.now - mine.sent >= AGAIN and self.has_turn(mine):
-            self.send_claim(mine)
+        elif mine.record is None and self.now - mine.sent >= AGAIN << min(mine.tries, SLOW):
+            if self.has_turn(mine):
+                self.send_claim(mine)
 
     def speak(self) -> None:
         do = self.views.look(self.now, self.living())
--- a/hillchute/history/verdict.py
+++ b/hillchute/history/verdict.py
@@ -41,11 +41,11 @@
         if record.state == OUT:
             if mine:
                 return Verdict.RUN, "granted before"
+            if age > record.patience + STILL_OUT:
+                return Verdict.KILL, "it may have run: its router never said"
             if owner_lives:
                 return Verdict.WAIT, "it is out"
-            if age <= record.patience + STILL_OUT:
-                return Verdict.DEFER, "its router is gone, its run may be out"
-            return Verdict.KILL, "it may have run: its router is gone"
+            return Verdict.DEFER, "its router is gone, its run may be out"
         if not book.answers(customer, record.key, record.taken, age):
             return Verdict.KILL, "it has run; the policy gives no answer"
         if record.state == KILLED:
--- a/hillchute/lab/processes.py
+++ b/hillchute/lab/processes.py
@@ -364,6 +364,7 @@
             "resent": len(self.resends),
             "replayed": len(replayed),
             "ran_twice": len(self.ran_twice()),
+            "forgotten_too_soon": len(self.forgotten_too_soon()),
             "kept_too_long": len(self.kept_too_long(replayed)),
             "bad_exits": sum(code != 0 for code in self.exits),
             "router_faults": len(faults),
@@ -388,6 +389,11 @@
             and not any(sent[first.id] < before for before, _ in self.forgets)
         ]
 
+    def forgotten_too_soon(self) -> list[str]:
+        """Of those, the tokens whose client had its answer: the history had it, and has lost it."""
+        finished = {q.token for q in self.queries if q.how == "finished"}
+        return [token for token in self.ran_twice() if token in finished]
+
     def kept_too_long(self, replayed: list[Query]) -> list[str]:
         """Tokens whose last run was to be forgotten, and that were answered, or are on a disk, long after."""
         kept, ended = [], defaultdict(float)
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -77,7 +77,8 @@
     assert verdict(out) is Verdict.WAIT
     assert verdict(out, mine=True) is Verdict.RUN
     assert verdict(out, lives=False) is Verdict.DEFER
-    assert verdict(out, lives=False, age=out.patience + STILL_OUT + 1) is Verdict.KILL
+    for lives in (True, False):
+        assert verdict(out, lives=lives, age=out.patience + STILL_OUT + 1) is Verdict.KILL
     assert verdict(before=Kept(out, EPOCH)) is Verdict.WAIT
     assert verdict(room=False) is Verdict.DEFER
     assert verdict(lost_for=0) is Verdict.DEFER
