History: a router that ends calls no more views

Where it was the first by name it went on calling views of its own while the others agreed on one without it: two speakers, and views that ended each other, until it was gone. Shown by the test with n0, which fails without.

--- a/hillchute/history/keeper.py
+++ b/hillchute/history/keeper.py
@@ -129,6 +129,7 @@
         self.floor: Id = (0, "")  # it takes part in no view before: others have fetched from it
         self.rounds: dict[int, Round] = {}
         self.freed: dict[tuple[str, int, int], Time] = {}
+        self.leaving = False  # it ends: it gives what it has, and calls no view
         self.given: set[int] = set()  # slots that somebody has fetched
         self.waiting: dict[tuple[str, str, str, int], Claim] = {}  # by key, asker and its number
         self.mine: dict[int, Mine] = {}
@@ -731,7 +732,7 @@
                 self.send_claim(mine)
 
     def speak(self) -> None:
-        do = self.views.look(self.now, self.living())
+        do = "" if self.leaving else self.views.look(self.now, self.living())
         if do and self.now >= self.beat_at:
             self.beat_at = self.now + BEAT
             if do == "call":
--- a/hillchute/lab/history_net.py
+++ b/hillchute/lab/history_net.py
@@ -87,6 +87,12 @@
         self.open = {claim: about for claim, about in self.open.items() if claim[0] != name}
         self.notice()
 
+    def leave(self, name: str) -> None:
+        """It says farewell: no other counts it as living, and it still answers."""
+        self.keepers[name].leaving = True
+        for other in self.names:
+            self.seen[other].pop(name, None)
+
     def stop(self, name: str) -> None:
         if name in self.keepers:
             self.stopped.setdefault(name, [])
--- a/hillchute/router/peering.py
+++ b/hillchute/router/peering.py
@@ -72,6 +72,12 @@
         if self.link.tasks is not None:
             self.link.ride()
 
+    def leave(self) -> None:
+        """This router ends: it says farewell, and calls no more views."""
+        self.link.leave()
+        if self.remembering is not None:
+            self.remembering.keeper.leaving = True
+
     async def hand_over(self) -> None:
         """A router that ends stays until others have what it alone holds, or for so long."""
         if self.remembering is None:
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -340,7 +340,7 @@
         self.departure = Departure(now, self.station.closing, self.reducer.lateness.worst)
         self.handle(events.Closing(self.departure.end))
         if self.peering is not None:
-            self.peering.link.leave()
+            self.peering.leave()
 
     def step_out(self) -> str:
         """How far the end has come, as of a round made now: only that sees what the kernel holds."""
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -504,19 +504,19 @@
     assert net.held("t") == []
 
 
-def test_router_that_leaves_hands_over_what_it_alone_has():
+@pytest.mark.parametrize("name", ["n0", "n2"])  # the first by name calls the views, too
+def test_router_that_leaves_hands_over_what_it_alone_has(name):
     net = net_of(copies=0)
-    key = key_held_by(net, "n2")
-    assert asked(net, "n0", "t", key) == "RUN"
-    keeper = net.keepers["n2"]
+    key = key_held_by(net, name)
+    assert asked(net, "n1", "t", key) == "RUN"
+    keeper, views = net.keepers[name], net.keepers["n1"].counts["views"]
     assert not keeper.handed_over
-    for name in net.names:  # it says farewell: no other counts it as living, and it still answers
-        net.seen[name].pop("n2", None)
-    net.advance(10)
-    assert keeper.handed_over
-    net.kill("n2")
+    net.leave(name)
+    net.advance(12)
+    assert keeper.handed_over and net.keepers["n1"].counts["views"] == views + 1
+    net.kill(name)
     assert net.settled()
-    assert asked(net, "n0", "t", key) == "ANSWER"
+    assert asked(net, "n3", "t", key) == "ANSWER"
 
 
 @pytest.mark.parametrize("seed", range(1, 9))
