--- a/hillchute/lab/processes.py
+++ b/hillchute/lab/processes.py
@@ -169,9 +169,10 @@
                 starts.start_soon(member.start)
 
     async def down(self) -> None:
-        for member in self.members:
-            if member.process is not None and member.process.poll() is None:
-                self.exits.append(await member.stop())
+        async with anyio.create_task_group() as stops:  # at once: none waits for another to fetch what it has
+            for member in self.members:
+                if member.process is not None and member.process.poll() is None:
+                    stops.start_soon(self.end, member)
         await self.fleet.close()
 
     def policies(self, member: Member) -> str:
@@ -196,6 +197,9 @@
                 while not any(line["in_force"] and not line["fetching"] for line in member.told("history")):
                     await anyio.sleep(0.2)
 
+    async def end(self, member: Member) -> None:
+        self.exits.append(await member.stop())
+
     # ---- clients ----------------------------------------------------------------------------------
 
     async def clients(self, member: Member, until: float, tasks: anyio.abc.TaskGroup) -> None:
