--- a/hillchute/errors.py
+++ b/hillchute/errors.py
@@ -87,3 +87,9 @@
         "see that `history.disk` names a file in a folder that the router may write to, with room; move a"
         " damaged file away and restart the router: others bring back what they hold"
     )
+
+
+class TextNotTaken(HillchuteError):
+    """A text between partners that can't be agreed to; `where` is the field or the partner."""
+
+    remedy = "compare what each partner offers; a new offer, and a text with a higher number, are needed"
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -18,6 +18,7 @@
 from hillchute.lab.history_net import EPOCH
 from hillchute.membership import event_bus
 from hillchute.operator import reading
+from hillchute.partners.agreement import settle
 from hillchute.peers import codec
 from hillchute.peers.link import Address, Link
 from hillchute.peers.node import Node
@@ -75,6 +76,10 @@
     Disk(tmp_path / "none" / "h.db")
 
 
+def text_not_taken(tmp_path):
+    settle([], 1, 0, 0)
+
+
 @pytest.mark.parametrize(
     ("error", "path"),
     [
@@ -84,6 +89,7 @@
         (errors.DatagramDropped, datagram_dropped),
         (errors.PeersNotReachable, peers_not_reachable),
         (errors.DiskNotUsable, disk_not_usable),
+        (errors.TextNotTaken, text_not_taken),
     ],
 )
 def test_type_is_raised_by_a_path_and_says_what_where_and_what_to_do(tmp_path, error, path):
