--- a/hillchute/history/codec.py
+++ b/hillchute/history/codec.py
@@ -42,9 +42,10 @@
 
 
 class Ask(Said, tag=1):
-    """For promises, to call a new view."""
+    """For promises, to call a new view. `have`: the one that the sender took up last."""
 
     view: Id
+    have: Id
 
 
 class Promised(Said, tag=2):
@@ -70,6 +71,16 @@
     view: View
 
 
+class Change(Said, tag=17):
+    """A view's text, for one that took up the view `base` last, from which this one goes on."""
+
+    view: Id
+    base: Id
+    copies: int
+    gone: tuple[str, ...]
+    come: dict[str, int]
+
+
 class WantBook(Said, tag=6):
     above: int
 
@@ -159,8 +170,8 @@
 
 
 Message = (
-    Ask | Promised | Call | Granted | Text | WantBook | BookIs | Claim | Judged | End | Ended | Store | Stored
-    | Fetch | Data | Elsewhere
+    Ask | Promised | Call | Granted | Text | Change | WantBook | BookIs | Claim | Judged | End | Ended
+    | Store | Stored | Fetch | Data | Elsewhere
 )  # fmt: skip
 encoder, decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
 KINDS = get_args(Message)
--- a/hillchute/history/keeper.py
+++ b/hillchute/history/keeper.py
@@ -23,6 +23,7 @@
     Ask,
     BookIs,
     Call,
+    Change,
     Claim,
     Data,
     Elsewhere,
@@ -105,6 +106,20 @@
     ends: bool
 
 
+def told(view: View, have: Id | None) -> Change | Text:
+    """A view for one that took up `have` last: what changed, where it goes on from that."""
+    if have is None or have != view.before:
+        return Text(view)
+    gone = tuple(sorted(view.were.keys() - view.members.keys()))
+    come = {n: life for n, life in view.members.items() if view.were.get(n) != life}
+    return Change(view.id, have, view.copies, gone, come)
+
+
+def after(base: View, change: Change) -> View:
+    members = {n: life for n, life in base.members.items() if n not in change.gone} | change.come
+    return View(*change.view, members, change.copies, base.id, base.members, base.copies)
+
+
 class Keeper:
     def __init__(
         self,
@@ -231,9 +246,9 @@
         """A message that may be believed came from a router, or from this one."""
         self.now = now
         match message:
-            case Ask(view):
+            case Ask(view, have):
                 if sender == view[1]:
-                    self.say(sender, Promised(self.views.ask(now, view)))
+                    self.say(sender, Promised(self.views.ask(now, view, have)))
             case Promised(promise):
                 if self.views.promised(now, sender, promise, self.living(), self.book.copies):
                     self.begin_view()
@@ -244,6 +259,10 @@
             case Text(view):
                 if sender == view.speaker and self.views.take_up(now, view):
                     self.view_taken_up()
+            case Change():
+                follows = sender == message.view[1] and message.base == self.views.view.id
+                if follows and self.views.take_up(now, after(self.views.view, message)):
+                    self.view_taken_up()
             case WantBook(above):
                 if self.book.number > above:
                     self.say(sender, BookIs(self.book))
@@ -279,7 +298,7 @@
             self.view_taken_up()
         for name in view.members:
             if name != self.me:
-                self.say(name, Text(view))
+                self.say(name, told(view, view.before))
         self.beat_at = self.now
         self.call()
 
@@ -310,7 +329,7 @@
             grant = msgspec.structs.replace(grant, given=False)
         self.views.answered(self.now, sender, grant)
         if grant.lacks and self.views.proposed and grant.view == self.views.proposed.id:
-            self.say(sender, Text(self.views.proposed))
+            self.say(sender, told(self.views.proposed, grant.have))
 
     def view_taken_up(self) -> None:
         self.given.clear()
@@ -739,7 +758,7 @@
                 self.call()
             else:
                 for name in self.living():
-                    self.say(name, Ask(self.views.asking))
+                    self.say(name, Ask(self.views.asking, self.views.view.id))
 
     @property
     def handed_over(self) -> bool:
--- a/hillchute/history/views.py
+++ b/hillchute/history/views.py
@@ -67,6 +67,7 @@
     at: Time
     given: bool
     lacks: bool  # it has not seen the view's text
+    have: Id  # the view that it took up last
     highest: Id
     book: int  # the number of the policies that it has applied
 
@@ -105,11 +106,13 @@
         """Guards against one that names the highest number of all, after which there could be no view."""
         return id[0] <= now // 10 + AHEAD and id[1] in self.named
 
-    def ask(self, now: Time, id: Id) -> Promise:
+    def ask(self, now: Time, id: Id, have: Id = (0, "")) -> Promise:
+        """`have`: the view that who asks took up last; of that its name is enough."""
         given = id > self.highest and self.may_grant(now) and self.believable(now, id)
         if given:
             self.highest = id
-        return Promise(id, given, max(self.highest, self.view.id), self.remembers, self.view)
+        adopted = View(*have) if have == self.view.id else self.view
+        return Promise(id, given, max(self.highest, self.view.id), self.remembers, adopted)
 
     def called(self, now: Time, id: Id, sent: Time, book: int) -> Grant:
         lacks = id != self.view.id
@@ -117,7 +120,7 @@
         if given:
             self.highest, self.remembers = id, True
         # Guards against a view here that nobody calls: who does call learns that it needs a higher number.
-        return Grant(id, sent, now, given, lacks, max(self.highest, self.view.id), book)
+        return Grant(id, sent, now, given, lacks, self.view.id, max(self.highest, self.view.id), book)
 
     def take_up(self, now: Time, view: View) -> bool:
         """A view's text has come. Whether it holds now where another did; a lower one is none any more."""
@@ -181,7 +184,8 @@
         self.promises[sender] = promise
         if len(self.promises) < most_of(len(self.named)) or self.me not in self.promises:
             return False
-        believed = [p.adopted for p in self.promises.values() if self.believable(now, p.adopted.id)]
+        adopted = [self.view if p.adopted.id == self.view.id else p.adopted for p in self.promises.values()]
+        believed = [view for view in adopted if self.believable(now, view.id)]
         last = max((*believed, NONE), key=lambda view: view.id)
         known = sum(p.remembers for p in self.promises.values()) >= most_of(len(self.named))
         went_on = (last.id, last.members, last.copies) if known and last.number else (None, {}, 0)
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -250,6 +250,27 @@
     assert views.look(now + 2 * LEASE, living) == "ask" and views.proposed is None
 
 
+def test_view_that_goes_on_is_told_by_what_changed_and_whole_to_who_lacks_that():
+    net = net_of(copies=1)
+    net.cut(["n3"], ["n0", "n1", "n2", "n4"])
+    net.advance(12)
+    net.kill("n4")  # a second view that n3 misses
+    net.advance(12)
+    told = []
+    for keeper in net.keepers.values():
+        receive = keeper.receive
+        keeper.receive = lambda now, sender, message, receive=receive, to=keeper.me: (
+            told.append((to, type(message))),
+            receive(now, sender, message),
+        )
+    net.mend()
+    assert net.settled()
+    assert ("n1", codec.Change) in told and ("n1", codec.Text) not in told
+    assert ("n3", codec.Text) in told
+    views = [k.views.view for k in net.keepers.values()]
+    assert all(view == views[0] for view in views) and len(views[0].members) == 4 > len(views[0].were)
+
+
 def test_fewer_than_half_never_speak():
     living = {"a": 1, "b": 1}
     views = Views("a", 1, "abcde", EPOCH)
