History: rows that have no room, or are too long for a message, leave their ending

Seen by reading: rows came after the claim's check for room, so a key could pass its bytes; and an ending longer than a message could never be told, so its record stayed out until it counted as killed and its router told it for ever.

--- a/hillchute/history/keeper.py
+++ b/hillchute/history/keeper.py
@@ -51,6 +51,7 @@
     1024  # claims that are looked at again as soon as what they wait for ends; more ask again themselves
 )
 FETCHES = 64  # slots asked for at once: about a quarter of a second of a loaded loop's messages
+LONGEST = 4 << 20  # bytes of rows that are kept: half a message; of more the ending alone
 PART = 1 << 20  # bytes of a slot that go in one message
 SWEEPS = 2  # times within the time for erasing that each slot is looked through
 LEFT_FOR: Time = 600_000  # a slot that it holds no more is kept so long for those that hold it now
@@ -203,8 +204,10 @@
             mine.customer, mine.key, mine.token, 0, 0, 0, self.me, self.life, mine.number, 0, FREED, None
         )
         mine.tries = 0
-        keeps = self.book.of(mine.customer).rows
-        mine.end = msgspec.structs.replace(mine.record or blank, state=state, rows=rows if keeps else None)
+        policy = self.book.of(mine.customer)
+        if rows is not None and not (policy.rows and len(rows) <= min(LONGEST, policy.most_bytes)):
+            rows = None
+        mine.end = msgspec.structs.replace(mine.record or blank, state=state, rows=rows)
         self.send_end(mine)
 
     def send_claim(self, mine: Mine) -> None:
@@ -598,6 +601,7 @@
                 return
             record = msgspec.structs.replace(kept.record, state=FREED)
         age = self.now - kept.since if kept is not None else 0
+        record = self.shelf.fitting(record, self.now, self.book)
         self.shelf.put(record, self.now, age, self.book)
         self.copy(sender, record, True)
         for name in [n for n in self.waiting if n[:2] == (record.customer, record.key)]:
--- a/hillchute/history/records.py
+++ b/hillchute/history/records.py
@@ -106,6 +106,21 @@
         self.moved[record.customer, record.key, record.token] = record
         return True
 
+    def fitting(self, record: Record, now: Time, book: Book) -> Record:
+        """With its rows if the key's bytes leave room for them, once what is due has gone; else with its
+        ending alone."""
+        if record.rows is None:
+            return record
+        most = book.of(record.customer).most_bytes
+        mine = sorted(self.of_key(record.customer, record.key), key=lambda k: k.since)
+        size = record.size + sum(k.record.size for k in mine if k.record.token != record.token)
+        for kept in [k for k in mine if k.record.token != record.token and self.may_go(k, now, book)]:
+            if size <= most:
+                break
+            size -= kept.record.size
+            self.drop(kept.record)
+        return record if size <= most else msgspec.structs.replace(record, rows=None)
+
     def drop(self, record: Record) -> None:
         tokens = self.slots[slot_of(record.customer, record.key)]
         mine = tokens[record.customer, record.key]
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -151,6 +151,34 @@
     assert shelf.of["flood"] < 4 and shelf.of["other"] == 3
 
 
+def test_rows_that_a_key_has_no_room_for_leave_their_ending():
+    few = Book(default=msgspec.structs.replace(KEEPS, most_bytes=3_000))
+    shelf = Shelf()
+    for n, size in enumerate((1_000, 2_000, 5_000)):
+        one = shelf.fitting(record(f"t{n}", rows=b"x" * size), EPOCH, few)
+        assert (one.rows is None) == (n > 0)
+        shelf.put(one, EPOCH, 0, few)
+    assert shelf.fitting(record("t3", rows=b"x" * 1_500), EPOCH, few).rows is None
+    later = EPOCH + KEEPS.least_ms * MS + 1
+    assert shelf.fitting(record("t3", rows=b"x" * 1_500), later, few).rows is not None
+    assert shelf.find("", "k", "t0") is None
+
+
+def test_long_rows_leave_their_ending_and_nothing_is_stuck():
+    net = net_of(copies=1, policy=msgspec.structs.replace(KEEPS, most_bytes=1 << 30))
+    keeper = net.keepers["n0"]
+    number = keeper.claim(net.clock("n0"), "", "k", "t", net.clock("n0") + 9 * SECOND)
+    net.open["n0", net.lives["n0"], number] = "t", "k", net.now
+    net.post("n0")
+    while not net.runs["t"]:
+        net.advance(0.05)
+    net.endings.clear()
+    net.ended(("n0", net.lives["n0"], number), FINISHED, b"x" * (5 << 20))
+    net.advance(2)
+    assert not keeper.mine and len(net.held("t")) == 2
+    assert asked(net, "n3", "t", "k") == "KILL"
+
+
 # ---- who holds what ----
 
 
