--- a/hillchute/history/keeper.py
+++ b/hillchute/history/keeper.py
@@ -51,6 +51,7 @@
     1024  # claims that are looked at again as soon as what they wait for ends; more ask again themselves
 )
 FETCHES = 64  # slots asked for at once: about a quarter of a second of a loaded loop's messages
+FETCH_TIME: Time = 600_000  # a source that lives is waited for so long: it may have much, or a slow way
 LONGEST = 4 << 20  # bytes of rows that are kept: half a message; of more the ending alone
 PART = 1 << 20  # bytes of a slot that go in one message
 SWEEPS = 2  # times within the time for erasing that each slot is looked through
@@ -391,23 +392,25 @@
     # ---- slots that move ------------------------------------------------------------------------------
 
     def fetch(self) -> None:
-        view = self.views.view
+        view, living = self.views.view, self.living()
         for number in list(self.wanting)[:FETCHES]:
             slot = self.bring(number)
             if slot.wants is None or slot.left is not None:
                 self.wanting.pop(number, None)
                 continue
-            if slot.silent >= slot.sources.keys() or self.now - slot.since > LEASE:
+            asked = {name: life for name, life in slot.sources.items() if name not in slot.silent}
+            lives = any(living.get(name) == life for name, life in asked.items())
+            if not asked or self.now - slot.since > (FETCH_TIME if lives else LEASE):
                 self.lose(number, slot, view)
                 continue
             if self.now - slot.asked < 4 * AGAIN:
                 continue
             slot.asked = self.now
-            for name in slot.sources.keys() - slot.silent:
+            for name in asked:
                 self.say(name, Fetch(view.id, number, slot.wants))
 
     def fetched(self, sender: str, fetch: Fetch) -> None:
-        if fetch.view < self.floor:
+        if fetch.view < self.floor or not self.views.believable(self.now, fetch.view):
             return
         self.floor = fetch.view
         slot = self.bring(fetch.slot)
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -396,6 +396,21 @@
     assert not net.rule
 
 
+def test_holder_that_lives_is_waited_for_and_one_that_died_is_not():
+    net = net_of(copies=0)
+    keys = ((f"k{n}", slots.holders(slots.slot_of("", f"k{n}"), net.names, 2)) for n in range(1000))
+    key, (_, other) = next((k, held) for k, held in keys if held[0] == "n4" and held[1] != "n0")
+    assert asked(net, "n0", "t", key) == "RUN"
+    net.cuts |= {("n4", other), (other, "n4")}  # who is to fetch does not reach it, and takes it for alive
+    net.leave("n4")
+    net.seen[other]["n4"] = net.lives["n4"]
+    net.advance(15)
+    assert net.keepers[other].wanting and asked(net, "n1", "t", key) == "DEFER"
+    net.cuts.clear()
+    net.advance(3)
+    assert not net.keepers[other].wanting and asked(net, "n1", "t", key) == "ANSWER"
+
+
 def test_run_whose_router_died_runs_nowhere_else():
     net = net_of(copies=1, policy=msgspec.structs.replace(KEEPS, least_ms=90_000, most_ms=900_000))
     net.ask("n4", "t", key_held_by(net, "n0"))
