--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -251,11 +251,18 @@
 def test_switched_off_nothing_of_it_is_imported():
     program = (
         "import sys, hillchute.router.__main__, hillchute.router.service;"
-        "print(*[name for name in sys.modules if name.startswith(('hillchute.peers', 'msgspec'))"
+        "print(*[name for name in sys.modules if name.startswith(('hillchute.peers', 'msgspec', 'sqlite3',"
+        " 'hillchute.history', 'hillchute.partners', 'cryptography', 'hillchute.router.remembering'))"
         " or name in ('hillchute.accord.company', 'hillchute.router.peering', 'hillchute.router.telling')])"
     )
     told = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True, check=True)
     assert told.stdout.strip() == ""
+    program = (
+        "import sys, hillchute.router.peering; print(*[name for name in sys.modules if name.startswith(("
+        "'hillchute.history', 'sqlite3', 'hillchute.partners', 'hillchute.router.remembering'))])"
+    )
+    told = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True, check=True)
+    assert told.stdout.strip() == ""
 
 
 # ---- the operator file ------------------------------------------------------------------------------
