--- a/tests/test_partners.py
+++ b/tests/test_partners.py
@@ -11,6 +11,7 @@
 from hillchute.errors import TextNotTaken
 from hillchute.history.slots import SLOTS
 from hillchute.partners.agreement import WHOLE, Ledger, Mark, Marker, Offer, digest, settle, unfit
+from hillchute.partners.handover import GONE_FOR, Router, Title, fenced, may_lead, step
 from hillchute.partners.marks import checker, signer
 from hillchute.partners.split import moves, split, split_by_work
 
@@ -290,3 +291,81 @@
     for one in offers[:2]:
         ledger.hear_mark(marker(one.partner).mark(new, one))
     assert ledger.in_force(DAY - 1) == old and ledger.in_force(DAY) is None
+
+
+# ---- handover ----
+
+
+def routers(*some):
+    return {f"r{n}": one for n, one in enumerate(some)}
+
+
+EVENTS = ["lead", "end", "done", "die", "late", "want", "step", "step"]
+BUSY, DONE = Router(True, 0), Router(True, 0, done=1)
+
+
+def test_planned_handover_waits_for_every_router_of_the_old_owner():
+    title = step(None, "a", {})
+    assert title == Title(1, "a") and may_lead(title, "a", 1) and not may_lead(title, "b", 1)
+    assert step(title, "a", routers(BUSY)) == title
+    ending = step(title, "b", routers(BUSY, BUSY))
+    assert ending == Title(1, "a", "b") and not may_lead(ending, "a", 1) and not may_lead(ending, "b", 1)
+    assert step(ending, "b", routers(DONE, BUSY)) == ending
+    assert step(ending, "b", routers(DONE, DONE)) == Title(2, "b")
+    assert fenced(Title(2, "b"), 1) and not fenced(Title(2, "b"), 2) and fenced(None, 5)
+
+
+def test_after_a_death_lease_and_longest_submission_are_waited_for():
+    ending = Title(1, "a", "b")
+    dead = Router(False, GONE_FOR)
+    assert step(ending, "b", routers(DONE, dead)) == ending
+    assert step(ending, "b", routers(DONE, Router(False, GONE_FOR + 1))) == Title(2, "b")
+    assert step(ending, "b", routers(Router(False, 0, done=1))) == Title(2, "b")  # it had said so before
+    assert step(ending, "b", routers(Router(True, 10 * GONE_FOR))) == ending  # it lives: no word is no end
+
+
+def test_handover_that_is_called_off_leads_on_under_a_number_that_nobody_is_done_with():
+    ending = Title(1, "a", "b")
+    assert step(ending, "a", routers(BUSY)) == Title(1, "a")
+    assert step(ending, "a", routers(DONE, BUSY)) == Title(2, "a")
+    assert step(ending, "c", routers(DONE, BUSY)) == Title(1, "a", "c")
+    assert step(Title(1, "a"), "", routers(BUSY)) == Title(1, "a")
+    assert step(None, "", {}) is None
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from(EVENTS), st.integers(0, 5)), max_size=60))
+def test_never_two_lead_and_nothing_of_the_old_is_out_when_the_new_begins(events):
+    """Two routers of each of three partners; what each has out under which number; a clock that death starts."""
+    partners, wanted, title = "abc", "a", None
+    out = {(p, n): set() for p in partners for n in (0, 1)}
+    known = {(p, n): Router(True, 0) for p in partners for n in (0, 1)}
+    led = {}
+    for what, n in events:
+        partner, router = partners[n % 3], (partners[n % 3], n // 3)
+        match what:
+            case "want":
+                wanted = partner
+            case "step":
+                before, owner = title, title and title.owner
+                title = step(title, wanted, {r: one for r, one in known.items() if r[0] == owner})
+                assert before is None or title.number in (before.number, before.number + 1)
+                if before is not None and title.owner != before.owner:
+                    assert title.number == before.number + 1
+                    assert not any(number <= before.number for mine in out.values() for number in mine)
+            case "lead" if known[router].lives and title is not None and may_lead(
+                title, partner, title.number
+            ):
+                if known[router].done != title.number:  # it has said that it takes no more under this one
+                    out[router].add(title.number)
+                    assert led.setdefault(title.number, partner) == partner
+            case "end":
+                out[router].clear()
+            case "done" if known[router].lives and title is not None and title.to and not out[router]:
+                if title.owner == partner:
+                    known[router] = Router(True, 0, title.number)
+            case "die":
+                known[router] = Router(False, 0, known[router].done)
+            case "late" if not known[router].lives:
+                out[router].clear()  # so long after its death nothing of it can be out
+                known[router] = Router(False, GONE_FOR + 1, known[router].done)
