--- a/tests/test_partners.py
+++ b/tests/test_partners.py
@@ -336,7 +336,7 @@
 @settings(max_examples=300, deadline=None)
 @given(st.lists(st.tuples(st.sampled_from(EVENTS), st.integers(0, 5)), max_size=60))
 def test_never_two_lead_and_nothing_of_the_old_is_out_when_the_new_begins(events):
-    """Two routers of each of three partners; what each has out under which number; a clock that death starts."""
+    """Two routers of each of three partners; what each has out under which number."""
     partners, wanted, title = "abc", "a", None
     out = {(p, n): set() for p in partners for n in (0, 1)}
     known = {(p, n): Router(True, 0) for p in partners for n in (0, 1)}
