A view waits for those that may remember before it counts all as lost

Cause: a view began with the first four answers of six; one of a router that had just restarted among them left three that remember, one short, though the fourth was on its way (views.py, promised). It waits for all that live now, and asks four times, before it begins without.

--- a/hillchute/history/views.py
+++ b/hillchute/history/views.py
@@ -25,6 +25,7 @@
 LEASE: Time = 40_000  # four seconds: rides out three beats that the network lost
 DRIFT = 0.01  # part by which two monotonic clocks may differ over one lease; crystals keep to 0.0001
 BEAT: Time = 10_000  # between two calls
+ASKS = 4  # times that all are asked before a view begins without those who may remember
 AHEAD = 3_600_000  # milliseconds that a view's number, a time, may lie ahead of our clock
 STEADY: Time = 10_000  # so long who lives must be the same before a view is asked for: deaths come in crowds
 
@@ -89,6 +90,7 @@
         self.seen: tuple[frozenset, Time] = frozenset(), now  # who lived, and since when
         self.asking: Id | None = None
         self.asked_at: Time = now
+        self.asks = 0  # since a view was called
         self.promises: dict[str, Promise] = {}
         self.proposed: View | None = None
         self.proposed_at: Time = now
@@ -161,6 +163,7 @@
                 # Milliseconds: no life of this router that has been forgotten asked with the same number.
                 number = max(self.highest[0] + 1, now // 10)
                 self.asking, self.asked_at, self.promises = (number, self.me), now, {}
+                self.asks += 1
             return "ask"
         return "call" if self.proposed else ""
 
@@ -188,10 +191,13 @@
         believed = [view for view in adopted if self.believable(now, view.id)]
         last = max((*believed, NONE), key=lambda view: view.id)
         known = sum(p.remembers for p in self.promises.values()) >= most_of(len(self.named))
+        # Those that restarted answer as soon as others: without those that remember all would be lost.
+        if not known and len(self.promises) < len(living) and self.asks < ASKS:
+            return False
         went_on = (last.id, last.members, last.copies) if known and last.number else (None, {}, 0)
         first = not any(p.remembers for p in self.promises.values())
         self.proposed = View(self.asking[0], self.me, dict(living), copies, *went_on, first)
-        self.proposed_at, self.asking = now, None
+        self.proposed_at, self.asking, self.asks = now, None, 0
         self.granted, self.echoes, self.promises = {}, {}, {}
         return True
 
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -11,7 +11,7 @@
 from hillchute.history.policy import MS, Book, Forget, Policy, unfit
 from hillchute.history.records import FINISHED, FREED, KILLED, OUT, Kept, Record, Shelf
 from hillchute.history.verdict import STILL_OUT, Verdict, judge
-from hillchute.history.views import AHEAD, DRIFT, LEASE, NONE, STEADY, View, Views, most_of
+from hillchute.history.views import AHEAD, ASKS, BEAT, DRIFT, LEASE, NONE, STEADY, View, Views, most_of
 from hillchute.lab.history_net import EPOCH, SECOND, HistoryNet, founded, storm
 
 KEEPS = Policy(rows=True, least_ms=20_000, most_ms=60_000)
@@ -239,36 +239,46 @@
     assert views.ask(now, (EPOCH // 10, "b")).given
 
 
-def speaker(remember: int) -> tuple[Views, View, dict[str, int]]:
-    """One of five that has asked for a view, and been answered by three, so many of whom remember one."""
+def speaker(remembering: str, answers: str = "abcde") -> tuple[Views, View | None, int]:
+    """One of five that has asked for a view, what comes of the answers, and after how many."""
     living = dict.fromkeys("abcde", 1)
     views, now = Views("a", 1, living, EPOCH), EPOCH + 3 * LEASE
     views.look(now, living)
     assert views.look(now + STEADY, living) == "ask"
     old = View(5, "e", living, 1)
-    for n, name in enumerate("abc"):
+    for n, name in enumerate(answers, 1):
         granter = Views(name, 1, living, EPOCH)
-        if n < remember:
+        if name in remembering:
             granter.take_up(EPOCH * 2, old)
             granter.called(now, (5, "e"), 0, 0)
-        done = views.promised(now + STEADY, name, granter.ask(now + STEADY, views.asking), living, 2)
-        assert done == (n == 2)
-    return views, views.proposed, living
+        if views.promised(now + STEADY, name, granter.ask(now + STEADY, views.asking), living, 2):
+            return views, views.proposed, n
+    return views, None, len(answers)
 
 
 def test_view_goes_on_from_the_last_only_where_most_remember():
-    _, view, living = speaker(3)
-    assert (view.before, view.were, view.had, view.copies) == ((5, "e"), living, 1, 2)
-    assert view.number > 5 and not view.first
-    _, view, _ = speaker(2)
-    assert view.before is None and not view.first
-    _, view, _ = speaker(0)
-    assert view.before is None and view.first
+    _, view, after = speaker("abc")
+    assert (view.before, view.had, view.copies, after) == ((5, "e"), 1, 2, 3)
+    assert view.were.keys() == set("abcde") and view.number > 5 and not view.first
+    _, view, after = speaker("ab")
+    assert view.before is None and not view.first and after == 5
+    _, view, after = speaker("")
+    assert view.before is None and view.first and after == 5
+
+
+def test_answers_of_those_that_restarted_do_not_hide_those_that_remember():
+    _, view, after = speaker("cde", "abcde")
+    assert view.before == (5, "e") and after == 5
+    views, view, _ = speaker("cd", "abcd")
+    assert view is None and views.asking  # the fifth may remember: it is asked again
+    for _ in range(ASKS):
+        views.look(views.asked_at + BEAT + 1, dict.fromkeys("abcde", 1))
+    assert views.asks >= ASKS
 
 
 def test_view_that_was_not_in_force_for_a_lease_is_dropped():
-    views, view, living = speaker(3)
-    now = views.proposed_at
+    views, view, _ = speaker("abc")
+    now, living = views.proposed_at, dict.fromkeys("abcde", 1)
     for name in "abc":
         granter = Views(name, 1, living, EPOCH)
         granter.take_up(EPOCH * 2, view)
