--- a/hillchute/history/views.py
+++ b/hillchute/history/views.py
@@ -128,6 +128,8 @@
         """A view's text has come. Whether it holds now where another did; a lower one is none any more."""
         if view.id < self.highest or view.id <= self.view.id or not self.believable(now, view.id):
             return False
+        if view.speaker not in view.members or len(view.members) < most_of(len(self.named)):
+            return False  # no speaker calls such a one
         self.view, self.until = view, 0
         return True
 
