--- a/hillchute/history/keeper.py
+++ b/hillchute/history/keeper.py
@@ -500,6 +500,8 @@
             return Verdict.DEFER, fault, None
         if (sender, claim.life, claim.number) in self.freed:
             return Verdict.DEFER, "it was given up", None
+        if self.living().get(sender) != claim.life:  # nobody would run it, nor say that it did not
+            return Verdict.DEFER, "its router does not live", None
         kept = self.shelf.find(claim.customer, claim.key, claim.token)
         others = self.shelf.of_key(claim.customer, claim.key) if claim.ordered else ()
         outs = (k for k in others if k is not kept and k.record.state == OUT and not self.over(k))
@@ -619,11 +621,11 @@
             return
         if mine is None:
             if verdict is Verdict.RUN and word.record is not None:
-                # Guards against a claim that came late, after it was given up: nobody else would end it.
-                view, record = self.views.view.id, msgspec.structs.replace(word.record, state=FREED)
-                first = self.first(record.customer, record.key)
-                if first is not None:
-                    self.say(first, End(view, record))
+                # Guards against a claim that came late, when it was over: nobody else would end it.
+                record = msgspec.structs.replace(word.record, state=FREED)
+                about = (record.customer, record.key, record.token, self.now, False, record, record)
+                self.mine[word.number] = Mine(word.number, *about)
+                self.send_end(self.mine[word.number])
             return
         if mine.record is not None or mine.end is not None:
             return
