--- a/hillchute/lab/history_mutants.py
+++ b/hillchute/lab/history_mutants.py
@@ -6,7 +6,7 @@
 what must hold. Must never know how the code under it comes to what it does. One seed, one run. Played from
 hillchute.lab.mutants, which also shows what came of it.
 
-What a network does: left out, twice, late, cut short, recorded and played again much later. Nothing may be
+What a network does that the peers let through: left out, twice, late, cut short. Nothing may be
 broken, and the end is as it was without. What a liar does: any field at zero, at its most, one off, another's
 name. It may make holders forget or believe what never was (docs/history.md says so), but no honest router may
 fail at it, answer a client twice, or be kept from going on.
