Rigs' workers start anew instead of being forked off a process with threads

Checked: at that point the test process has threads of gRPC and Arrow beside its own (/proc/<pid>/task), and ProcessPoolExecutor forks by default on Linux. Ruled out: a worker that is killed (it would raise BrokenProcessPool), work that takes long (the test takes 70 s on this machine with all cores busy).

lab/workers.py starts them by spawn. The test plays both rigs in a process that ends at any fork; it fails with fork.

--- a/hillchute/lab/history_mutants.py
+++ b/hillchute/lab/history_mutants.py
@@ -15,7 +15,6 @@
 import random
 from collections import Counter
 from collections.abc import Iterator
-from concurrent.futures import ProcessPoolExecutor
 from itertools import repeat
 
 import msgspec
@@ -27,6 +26,7 @@
 from hillchute.history.records import FREED
 from hillchute.history.slots import holders, slot_of
 from hillchute.lab.history_net import STEP, HistoryNet, founded
+from hillchute.lab.workers import workers
 
 LATER: dict[str, Time] = {"late by 1": STEP, "late by 3": 3 * STEP, "late by 40": 40 * STEP}
 NETWORK = ("left out", "twice", *LATER, "cut to nothing", "cut in half", "cut by a byte", "again much later")
@@ -241,7 +241,7 @@
     some = drawn(plain, seed, most)
     kinds: Counter[str] = Counter()
     broken, unlike, unused = [], [], 0
-    with ProcessPoolExecutor(jobs) as pool:
+    with workers(jobs) as pool:
         found = pool.map(mutant, repeat(seed), *zip(*some), repeat(end), chunksize=8)
         for (at, change, path), (used, wrong, other) in zip(some, found):
             message = type(plain.messages[at]).__name__
--- a/hillchute/lab/mutants.py
+++ b/hillchute/lab/mutants.py
@@ -18,7 +18,6 @@
 import sys
 from collections import Counter
 from collections.abc import Callable, Iterator
-from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 from itertools import repeat
 
@@ -33,6 +32,7 @@
 from hillchute.decision.interface import Time
 from hillchute.errors import DatagramDropped
 from hillchute.lab import history_mutants
+from hillchute.lab.workers import workers
 from hillchute.peers.codec import MARK, VERSION, WHOLE, Datagram, Rumour, decode, encoder, marked
 from hillchute.peers.node import Node
 from hillchute.peers.roster import DEAD, LEFT, ROUND
@@ -404,7 +404,7 @@
     unlike: list[str] = []
     kinds: Counter[str] = Counter()
     unused = 0
-    with ProcessPoolExecutor(jobs) as pool:
+    with workers(jobs) as pool:
         found = pool.map(mutant, repeat(seed), *zip(*places), repeat(end), chunksize=32)
         for (at, change), (used, faults, other) in zip(places, found):
             kind = CHANGES[change].kind
--- /dev/null
+++ b/hillchute/lab/workers.py
@@ -0,0 +1,13 @@
+"""Processes that share a rig's work.
+
+Owns how they start. Must never fork: whoever plays mutants may have threads (a test run has those of gRPC),
+and a fork copies the locks that they hold, but not the threads that would give them back.
+"""
+
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+
+
+def workers(jobs: int | None) -> ProcessPoolExecutor:
+    """So many, as many as there are cores for None; each starts anew and imports what it is given to do."""
+    return ProcessPoolExecutor(jobs, mp_context=get_context("spawn"))
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -2,6 +2,8 @@
 
 import hmac
 import random
+import subprocess
+import sys
 
 import pytest
 
@@ -20,6 +22,16 @@
     assert found["kinds"] == len(CHANGES) >= 50 and found["unused"] < found["mutants"] / 4
 
 
+def test_workers_are_never_forked_off_a_process_that_may_have_threads():
+    """A run of all tests has gRPC's; one of CI stood still over an hour in a forked worker."""
+    run = "import os; os.register_at_fork(before=lambda: os._exit(3))\n"
+    run += "from hillchute.lab import history_mutants, mutants\n"
+    run += "if __name__ == '__main__':\n"
+    run += "    assert mutants.play(1, 8, 2)['mutants'] == 8\n"
+    run += "    assert history_mutants.play(1, 2, 2)['mutants'] == 2\n"
+    assert subprocess.run([sys.executable, "-c", run], check=False).returncode == 0
+
+
 def test_same_seed_gives_the_same_run_and_another_another():
     runs = [Run(seed).play() for seed in (1, 1, 2)]
     messages = [[data for _, _, data in run.messages] for run in runs]
