Slots have titles, kept and moved by their holders like records

Every keyed query is granted by the slot's first holder and listed with all holders before it runs; so whoever moves the title there needs nothing from the old owner's routers. A title goes to all holders of the slot before it holds, with the slot when that moves, and is none where the slot is lost. Queries without a token may be listed, too, only while they are out. Calls and grants of views name the partners' text beside the policies' number.

--- a/hillchute/history/codec.py
+++ b/hillchute/history/codec.py
@@ -17,6 +17,7 @@
 from hillchute.history.policy import unfit as unfit_book
 from hillchute.history.records import KILLED, Record
 from hillchute.history.slots import SLOTS
+from hillchute.history.titles import Title
 from hillchute.history.verdict import Verdict
 from hillchute.history.views import Grant, Id, Promise, View
 
@@ -62,6 +63,7 @@
     echo: Time
     rest: Time
     book: int
+    text: int = 0  # the number of the partners' text that holds
 
 
 class Granted(Said, tag=4):
@@ -101,6 +103,7 @@
     token: str
     left: Time
     ordered: bool
+    once: bool = False  # it has no token of its own: it is listed only while it is out
 
 
 class Judged(Said, tag=9):
@@ -159,6 +162,7 @@
     records: tuple[Record, ...]
     ages: tuple[Time, ...]
     lost: Time | None
+    title: Title | None = None
 
 
 class Elsewhere(Said, tag=16):
@@ -170,9 +174,23 @@
     sources: dict[str, int]
 
 
+class Entitle(Said, tag=18):
+    """From the first holder to the others: the slot's title from now on."""
+
+    view: Id
+    slot: int
+    title: Title
+
+
+class Entitled(Said, tag=19):
+    view: Id
+    slot: int
+    number: int
+
+
 Message = (
     Ask | Promised | Call | Granted | Text | Change | WantBook | BookIs | Claim | Judged | End | Ended
-    | Store | Stored | Fetch | Data | Elsewhere
+    | Store | Stored | Fetch | Data | Elsewhere | Entitle | Entitled
 )  # fmt: skip
 encoder, decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
 KINDS = get_args(Message)
--- a/hillchute/history/verdict.py
+++ b/hillchute/history/verdict.py
@@ -19,6 +19,7 @@
     WAIT = 2  # a run of it, or of one before it in its key's order, is out
     DEFER = 3  # it can't be known now; a resend may be luckier
     KILL = 4  # it may have run, and there is no answer: a resend gets the same
+    PASS = 5  # another partner leads its slot: the reason is its name
 
 
 def judge(
--- a/hillchute/lab/history_mutants.py
+++ b/hillchute/lab/history_mutants.py
@@ -21,7 +21,7 @@
 
 from hillchute.decision.interface import Time
 from hillchute.errors import DatagramDropped
-from hillchute.history.codec import KINDS, Message, encode, encoder
+from hillchute.history.codec import KINDS, Message, encoder
 from hillchute.history.policy import Policy
 from hillchute.history.records import FREED
 from hillchute.history.slots import holders, slot_of
@@ -97,7 +97,7 @@
         super().__init__(seed, ROUTERS, founded(copies=1, default=policy), fails=0.0)
 
     def carried(self, message: Message) -> list[tuple[Time, bytes]]:
-        data = encode(message)
+        data = self.encoded(message)
         if self.at < 0:
             self.messages.append(message)
         rows = [(0, data)] if self.count != self.at else self.altered(data, message)
