--- a/hillchute/accord/quotas.py
+++ b/hillchute/accord/quotas.py
@@ -14,6 +14,10 @@
   much of the loan before is still used, so that the lender knows what may be out at the most;
 - a clock that is slow or fast by up to one part in fifty is covered by the twentieth.
 
+Of a limit whose homes are told (partners: by their shares) a router lends evenly within its own kin, and to
+others only what it does not want itself; confined, it keeps to its floor, which is the same whatever homes
+are told.
+
 Times are whole tenths of a millisecond on a clock that goes on while a process stands still.
 """
 
@@ -113,6 +117,10 @@
     home: int
     changed: Time  # when this life began, or the home was changed
     before: int  # what it may use of its home until it is known that no loan of before is out
+    wait: Time = LENT  # until that is known
+    least: int | None = None  # the floor, where homes are told
+    ours: frozenset[str] | None = None  # those that one lends to evenly; None: all
+    confined: bool = False
     asked: int = 0  # units that this router's traffic would use now
     lent: dict[str, Lent] = field(default_factory=dict)
     held: dict[str, Held] = field(default_factory=dict)
@@ -120,11 +128,12 @@
 
     @property
     def floor(self) -> int:
-        return self.home // FLOOR
+        return self.home // FLOOR if self.least is None else min(self.least, self.home)
 
     def own(self, now: Time) -> int:
         """What it may use or lend of its home: all, once what an earlier life lent is over."""
-        return self.home if now >= self.changed + LENT else min(self.home, self.before)
+        own = self.home if now >= self.changed + self.wait else min(self.home, self.before)
+        return min(own, self.floor) if self.confined else own
 
     def out(self, now: Time) -> int:
         return sum(lent.out(now) for lent in self.lent.values())
@@ -157,8 +166,23 @@
         self.names = frozenset(names)
         self.kin.clear()
         for limit in self.limits.values():
-            limit.before, limit.changed = limit.own(now), now
-            limit.home = home(limit.whole, self.names, self.me)
+            if limit.least is None:
+                limit.before, limit.changed = limit.own(now), now
+                limit.home = home(limit.whole, self.names, self.me)
+
+    def told(
+        self, now: Time, name: str, home: int, least: int, ours: Iterable[str], wait: Time, confined: bool
+    ) -> None:
+        """The home of a limit whose homes are told. A larger one holds once `wait` is over: by then whoever
+        has less by what was told uses less, and all that it lent has run out."""
+        limit = self.limits[name]
+        if limit.least is None:
+            limit.before = min(limit.before, least)
+        limit.confined, limit.ours = confined, frozenset(ours)
+        if (home, least) != (limit.home, limit.least) or limit.wait != wait:
+            before = min(limit.own(now), limit.home)
+            limit.home, limit.least, limit.wait = home, least, wait
+            limit.before, limit.changed = before, now
 
     def kin_of(self, borrower: str) -> frozenset[str]:
         """Whom a router may borrow from: as many others as KIN, by chance that all draw alike."""
@@ -215,7 +239,9 @@
         self.drawn += 1
         known.sort(key=lambda entry: crc32(f"{self.seed}:{self.drawn}:{entry[0]}".encode()))
         usable = limit.usable(now)
-        worth = [(even(limit.asked, usable, w.asked, w.usable), name) for name, w in known[:TRIES]]
+        worth = [
+            (fair(limit, name, limit.asked, usable, w.asked, w.usable), name) for name, w in known[:TRIES]
+        ]
         most, name = max(worth, default=(0, ""))
         return name if most > NEAR * limit.asked else None
 
@@ -228,7 +254,8 @@
         usable = limit.usable(now)
         keeps = max(0, min(had, had - (usable - limit.asked)))
         at, want = limit.wants.get(lender, (-HEARD, Want(0, 0)))
-        more = even(limit.asked, usable, want.asked, want.usable) if now - at < HEARD else 0
+        heard = now - at < HEARD
+        more = fair(limit, lender, limit.asked, usable, want.asked, want.usable) if heard else 0
         level = max(0, min(keeps + more, limit.asked))
         until = held.until if held else now
         limit.held[lender] = Held(self.number, now, level, keeps, until)
@@ -262,8 +289,8 @@
             before_until = max(lent.until, lent.before_until)
         room = limit.own(now) - limit.floor - limit.out(now) + (lent.out(now) if lent else 0)
         mine = limit.usable(now) + (lent.out(now) if lent else 0)
-        fair = even(ask.asked, ask.usable - ask.keeps, limit.asked, mine)
-        amount = max(0, min(ask.level, fair, room, limit.home // TO_ONE))
+        due = fair(limit, sender, ask.asked, ask.usable - ask.keeps, limit.asked, mine)
+        amount = max(0, min(ask.level, due, room, limit.home // TO_ONE))
         until = now + LENT
         limit.lent[sender] = Lent(ask.number, before, before_until, amount, until)
         for other in [who for who, had in limit.lent.items() if not had.out(now) and who != sender]:
@@ -272,6 +299,14 @@
         return [Word(sender, name, Grant(ask.number, amount, SPAN))]
 
 
+def fair(limit: Limit, other: str, asked: int, usable: int, others: int, theirs: int) -> int:
+    """What has to go from one who wants `others` and has `theirs` to one who wants `asked`: for both to have
+    the same share of it, or, of one that is not of its own, at most what that one does not want."""
+    if limit.ours is None or other in limit.ours:
+        return even(asked, usable, others, theirs)
+    return max(0, min(asked - usable, theirs - max(0, others)))
+
+
 def even(asked: int, usable: int, others: int, theirs: int) -> int:
     """What has to come from the other for both to have the same share of what is asked of them. Of one who
     wants nothing all that it has may come."""
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -354,7 +354,7 @@
         width, bound, least = q.group.width, more * FACTOR * e.able(self.now), 1
         free = bound - self.crowd(e)
         if self.now < e.pressed_until:
-            share = bound / self.routers
+            share = bound / self.parts.get("pool", self.routers)  # partners: by agreed shares of it
             # Guards against many routers whose bound is under one query: each then has one by chance only.
             least = int(crc32(f"{q.id}:{e.id}".encode()) / 2**32 < share / width)
             free = min(free, max(width, share) - e.threads) * least
--- a/hillchute/errors.py
+++ b/hillchute/errors.py
@@ -89,7 +89,26 @@
     )
 
 
+class MarksNotKept(HillchuteError):
+    """The file of what a partner has marked can't be read or written; `where` is the file."""
+
+    remedy = (
+        "see that `partners.marks_file` names a file in a folder that the router may write to, with room, and"
+        " that no line of it was changed; until then this partner marks no text, and the last one holds"
+    )
+
+
+class PartnerBroke(HillchuteError):
+    """A partner has marked two texts for one number; `where` is its name. Its part goes to the others."""
+
+    remedy = (
+        "ask that partner whether two of its routers have its `partners.key_file`, or an old"
+        " `partners.marks_file` was put back; to have a part again it needs another key under"
+        " `partners.members` everywhere, and SIGHUP"
+    )
+
+
 class TextNotTaken(HillchuteError):
     """A text between partners that can't be agreed to; `where` is the field or the partner."""
 
-    remedy = "compare what each partner offers; a new offer, and a text with a higher number, are needed"
+    remedy = "compare `partners.offer` of all partners; make a new offer with a higher turn, then send SIGHUP"
--- a/hillchute/fronts/events.py
+++ b/hillchute/fronts/events.py
@@ -9,6 +9,7 @@
 from hillchute.statements.request import Request
 
 FIRST_CALL = 1 << 40  # sessions from here on are calls of the Flight front; those of MySQL are below 2**32
+FIRST_GUEST = 1 << 50  # and from here on queries that another partner's router passed on
 
 
 class Asked(NamedTuple):
--- a/hillchute/lab/line_engine.py
+++ b/hillchute/lab/line_engine.py
@@ -29,7 +29,11 @@
 
     async def connection(self, stream: anyio.abc.SocketStream) -> None:
         self.streams.add(stream)
-        talk = Talk(self, stream)
+        world = self.engine.world
+        world.talked += 1
+        number = world.talked
+        world.talks[number] = stream.extra(anyio.abc.SocketAttribute.remote_port)
+        talk = Talk(self, stream, number)
         try:
             async with anyio.create_task_group() as talk.tasks:
                 await talk.hear()
@@ -38,6 +42,7 @@
             pass
         finally:
             self.streams.discard(stream)
+            del world.talks[number]
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
 
@@ -45,8 +50,8 @@
 class Talk:
     """One connection: what is open on it, and its pages."""
 
-    def __init__(self, server: LineEngine, stream: anyio.abc.SocketStream) -> None:
-        self.server, self.engine, self.stream = server, server.engine, stream
+    def __init__(self, server: LineEngine, stream: anyio.abc.SocketStream, number: int) -> None:
+        self.server, self.engine, self.stream, self.number = server, server.engine, stream, number
         self.lock = anyio.Lock()  # answers of several submissions must not run into one another
         self.open: dict[str, anyio.CancelScope] = {}
         self.pages: dict[str, list[bytes]] = {}
@@ -114,7 +119,8 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self.note, id)
                 try:
-                    work = await self.engine.run(id, fields["lane"], fields.get("dedupe"), plan)
+                    about = id, fields["lane"], fields.get("dedupe"), plan, self.number
+                    work = await self.engine.run(*about)
                 except Failed:
                     await self.say(f"{id} EIO rep={self.reported()}")
                     scope.cancel()
--- /dev/null
+++ b/hillchute/lab/partners.py
@@ -0,0 +1,317 @@
+"""What partners cost and get, measured in simulated time: moves of slots, time that a slot has no owner,
+shares of the pool against those agreed.
+
+    python -m hillchute.lab.partners --seed N --json
+
+Owns the scripts and what is counted. Must never know how a router decides. One seed, one result.
+"""
+
+import argparse
+import random
+import sys
+from collections.abc import Callable, Mapping
+from statistics import quantiles
+
+import orjson
+
+from hillchute.accord.quotas import Quotas
+from hillchute.decision.interface import Time
+from hillchute.history.codec import Claim
+from hillchute.history.keeper import Keeper
+from hillchute.history.policy import Policy
+from hillchute.history.records import STILL_OUT
+from hillchute.history.slots import SLOTS, holders, slot_of
+from hillchute.history.titles import Moving
+from hillchute.lab.partners_net import PATIENCE, SECOND, STEP, PartnersNet, founded
+from hillchute.partners.pool import floor, homes
+from hillchute.partners.split import moves, split, split_by_work
+from hillchute.router.partnering import GROWS_AFTER
+
+WHOLE = 1_000_000
+TICK: Time = 2_000  # of the pool's simulation
+KEEPS = Policy(rows=True, least_ms=90_000, most_ms=600_000)
+
+# ---- moves ----------------------------------------------------------------------------------------
+
+
+def least_moves(held: tuple, shares: Mapping[str, int]) -> int:
+    """By the rule of it: who gets less gives, and each slot that is given or nobody's moves once."""
+    total = sum(shares.values())
+    floors = {n: SLOTS * s // total for n, s in shares.items()}
+    over = SLOTS - sum(floors.values())
+    kept = sum(min(held.count(n), floors[n]) for n in shares)
+    gain = sum(1 for n in shares if SLOTS * shares[n] % total and held.count(n) > floors[n])
+    return SLOTS - kept - min(over, gain)
+
+
+def moved(seed: int, times: int = 200) -> dict[str, object]:
+    """Agreements one after another, partners that come and go among them; and the same by measured work."""
+    chance, held, over, worst = random.Random(seed), (None,) * SLOTS, 0, 0.0
+    by_count = by_work = 0
+    for _ in range(times):
+        some = chance.sample("abcdefgh", chance.randint(2, 8))
+        shares = {name: chance.choice([0, *range(500, 5000)]) for name in some} | {some[0]: 1000}
+        owners = split(held, shares)
+        over += moves(held, owners) - least_moves(held, shares)
+        by_count += moves(held, owners)
+        work = [int(1000 * chance.paretovariate(1.3)) for _ in range(SLOTS)]
+        weighed = split_by_work(owners, shares, work)
+        by_work += moves(owners, weighed)
+        total = sum(shares.values())
+        for name, share in shares.items():
+            mine = sum(w for w, owner in zip(work, weighed, strict=True) if owner == name)
+            room = max(work) / sum(work)  # the heaviest slot can't be parted
+            worst = max(worst, abs(mine / sum(work) - share / total) - room)
+        held = owners
+    return {
+        "agreements": times,
+        "moves": by_count,
+        "moves_over_least": over,
+        "moves_by_work": by_work,
+        "work_off_at_most": round(max(0.0, worst), 4),
+    }
+
+
+# ---- time without an owner ------------------------------------------------------------------------
+
+
+class Watched(Keeper):
+    """Notes how long a title moves, and what waits for a run of the owner before."""
+
+    gaps: list[Time]
+    waited: list[Time]
+    waits: dict[tuple[str, int, int], Time]
+    had_owner: dict[int, bool]
+
+    def title_stands(self, number: int, moving: Moving) -> None:
+        super().title_stands(number, moving)
+        if self.had_owner.pop(number, False):
+            self.gaps.append(self.now - moving.began)
+
+    def look_at_titles(self) -> None:
+        before = {n: slot.title for n, slot in enumerate(self.slots) if slot.title is not None}
+        super().look_at_titles()
+        for number in self.moving:
+            if number in before:
+                self.had_owner[number] = True
+
+    def claimed(self, sender: str, claim: Claim) -> None:
+        """What waits for something of the owner before, and for how long."""
+        number = slot_of(claim.customer, claim.key)
+        title, about = self.slots[number].title, (sender, claim.life, claim.number)
+        if title is not None and self.others_out(claim.customer, claim.key, title):
+            self.waits.setdefault(about, self.now)
+        elif about in self.waits:
+            self.waited.append(self.now - self.waits.pop(about))
+        super().claimed(sender, claim)
+
+
+class Timed(PartnersNet):
+    def __init__(self, *about: object, **faults: float) -> None:
+        self.gaps: list[Time] = []
+        self.waited_for: list[Time] = []
+        super().__init__(*about, **faults)
+
+    def keeper(self, name: str, now: Time, living: Callable[[], dict[str, int]]) -> Keeper:
+        plain = super().keeper(name, now, living)
+        keeper = Watched(name, plain.life, self.names, self.book, now, living, deeds=plain.deeds)
+        keeper.gaps, keeper.waited = self.gaps, self.waited_for
+        keeper.waits, keeper.had_owner = {}, {}
+        return keeper
+
+
+def unowned(seed: int, swings: int = 8) -> dict[str, object]:
+    """Slots that move by new agreements under load: from when nobody leads until the new owner may."""
+    net, chance, number = Timed(seed, 9, founded(copies=2, default=KEEPS)), random.Random(seed), 0
+    net.agree()
+    net.settled()
+    net.agreed()
+    for swing in range(swings):
+        gainer = "abc"[swing % 3]
+        for partner in "abc":
+            net.offer(partner, 6000 if partner == gainer else 2000)
+        until = net.now + 12 * SECOND
+        while net.now < until:
+            for name in chance.sample(net.names, 2):
+                number += 1
+                if chance.random() < 0.5:
+                    net.change(name, chance.randint(0, 400))
+                else:
+                    net.ask(name, f"r{number}", f"k{chance.randint(0, 400)}")
+            net.advance(STEP / SECOND)
+        net.agreed()
+    gaps = sorted(gap / 10 for gap in net.gaps)
+    cuts = quantiles(gaps, n=100)
+    return {
+        "slots_moved": len(gaps),
+        "queries": number,
+        "unowned_ms_p50": round(cuts[49], 1),
+        "unowned_ms_p99": round(cuts[98], 1),
+        "unowned_ms_most": round(gaps[-1], 1),
+        "waited_for_the_owner_before": len(net.waited_for),
+        "waited_ms_most": round(max(net.waited_for, default=0) / 10, 1),
+        "two_owners": net.rule["two owners"],
+    }
+
+
+def after_death(seed: int) -> dict[str, object]:
+    """A router dies with runs out in slots that are then others': until those may lead their keys."""
+    net = Timed(seed, 9, founded(copies=2, default=KEEPS))
+    net.agree()
+    net.settled()
+    net.agreed()
+    victims = net.partners["a"]
+    for n in range(60):
+        net.claim(victims[1], f"t{n}", f"k{n}", PATIENCE)
+    net.post(victims[1])
+    net.play(0.4)
+    out = {k.record.key for keeper in net.keepers.values() for k in keeper.shelf.all()}
+    net.kill(victims[1])
+    died = net.now
+    net.offer("a", 500)
+    for partner in "bc":
+        net.offer(partner, 7000)
+    net.agreed()
+    led, owners = {}, net.owners()
+    first = {slot: holders(slot, net.keepers["n1"].views.view.members, 1)[0] for slot in range(SLOTS)}
+    moved = [key for key in sorted(out) if owners[slot_of("", key)] != "a"]
+    while net.now < died + 2 * STILL_OUT and len(led) < len(moved):
+        net.advance(0.5)
+        for key in set(moved) - led.keys():
+            keeper, slot = net.keepers[first[slot_of("", key)]], slot_of("", key)
+            if not keeper.others_out("", key, keeper.slots[slot].title):
+                led[key] = net.now - died
+    waits = sorted(led.values())
+    return {
+        "keys_out": len(out),
+        "moved": len(moved),
+        "led_again": len(led),
+        "after_death_s": [round(waits[0] / SECOND, 1), round(waits[-1] / SECOND, 1)] if waits else [],
+    }
+
+
+# ---- shares of the pool -----------------------------------------------------------------------------
+
+
+class Pool:
+    """Routers' parts of the pool: quotas alone, that hear each other at once, and what each wants."""
+
+    def __init__(self, shares: Mapping[str, int], routers: Mapping[str, list[str]], seed: int = 1) -> None:
+        self.now, self.routers = 0, routers
+        self.names = [name for some in routers.values() for name in some]
+        self.whose = {name: partner for partner, some in routers.items() for name in some}
+        self.quotas = {
+            n: Quotas(n, self.names, {"pool": WHOLE}, seed + i, 0) for i, n in enumerate(self.names)
+        }
+        self.confined: set[str] = set()
+        self.told_of = dict.fromkeys(self.names, shares)
+        self.wants = dict.fromkeys(self.names, 0)
+        self.most = 0  # units that all together might use at any instant
+        self.tell()
+
+    def tell(self) -> None:
+        for name, quotas in self.quotas.items():
+            home = homes(WHOLE, self.told_of[name], self.routers)[name]
+            ours, least = self.routers[self.whose[name]], floor(WHOLE, len(self.names))
+            quotas.told(self.now, "pool", home, least, ours, GROWS_AFTER, name in self.confined)
+
+    def play(self, seconds: float) -> None:
+        for _ in range(int(seconds * SECOND / TICK)):
+            self.step()
+
+    def step(self) -> None:
+        self.now += TICK
+        self.tell()
+        for name, quotas in self.quotas.items():
+            quotas.asked("pool", self.wants[name])
+        said = {name: quotas.wants(self.now) for name, quotas in self.quotas.items()}
+        for name, wants in said.items():
+            for other, quotas in self.quotas.items():
+                if other != name:
+                    quotas.heard(self.now, name, wants)
+        words = [(n, w) for n, q in self.quotas.items() for w in q.tick(self.now, self.names)]
+        for name, word in words:
+            for back in self.quotas[word.to].asks(self.now, name, word.limit, word.what):
+                self.quotas[name].granted(self.now, word.to, back.limit, back.what)
+        self.most = max(self.most, sum(self.may_use(name) for name in self.names))
+
+    def may_use(self, name: str) -> int:
+        return self.quotas[name].usable("pool", self.now)
+
+    def of(self, partner: str) -> int:
+        return sum(self.may_use(name) for name in self.routers[partner])
+
+    def used(self, partner: str) -> int:
+        return sum(min(self.wants[name], self.may_use(name)) for name in self.routers[partner])
+
+
+def shared(seed: int, seconds: float = 600.0, each: int = 8) -> dict[str, object]:
+    """Ten minutes in which each router's wants rise and fall by themselves; a partner is counted while all
+    want their shares or more, and one that wants less for how soon it has its own back."""
+    chance = random.Random(seed)
+    routers = {p: [f"{p}{n}" for n in range(each)] for p in "abc"}
+    shares = {"a": 5000, "b": 3000, "c": 2000}
+    pool, mood = Pool(shares, routers, seed), dict.fromkeys(routers, 1.5)
+    pool.play(15)
+    used, counted, instants, back = dict.fromkeys(routers, 0), 0, 0, []
+    low: dict[str, Time] = {}  # routers that want all that is theirs, and have lent some of it to others
+    began = pool.now
+    while pool.now < began + seconds * SECOND:
+        if chance.random() < 0.004:
+            mood[chance.choice("abc")] = chance.choice([0.3, 1.5, 1.5, 3.0])
+        for partner, some in routers.items():
+            for name in some:
+                home = WHOLE * shares[partner] // 10_000 // each
+                want = pool.wants[name] or home
+                target = home * mood[partner] * chance.choice([0.2, 1.0, 1.8])
+                pool.wants[name] = int(want + 0.1 * (target - want))
+        pool.step()
+        instants += 1
+        asked = {p: sum(pool.wants[n] for n in some) for p, some in routers.items()}
+        full = [p for p in routers if asked[p] >= WHOLE * shares[p] / 10_000]
+        for name, quotas in pool.quotas.items():
+            limit = quotas.limits["pool"]
+            lent = sum(lent.out(pool.now) for who, lent in limit.lent.items() if who not in limit.ours)
+            if lent and limit.asked >= limit.home:
+                low.setdefault(name, pool.now)
+            elif name in low:
+                back.append(pool.now - low.pop(name))
+        if len(full) == len(routers):
+            counted += 1
+            for partner in routers:
+                used[partner] += pool.used(partner)
+    total = sum(used.values())
+    return {
+        "instants": instants,
+        "all_want_theirs": counted,
+        "agreed": {p: s / 10_000 for p, s in shares.items()},
+        "used": {p: round(u / total, 4) for p, u in used.items()},
+        "off_at_most": round(max(abs(used[p] / total - shares[p] / 10_000) for p in routers), 4),
+        "back_within_s_most": round(max(back, default=0) / SECOND, 1),
+        "whole_at_most": round(pool.most / WHOLE, 4),
+    }
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(
+        prog="python -m hillchute.lab.partners", description=__doc__.split("\n")[0]
+    )
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", action="store_true")
+    asked = parser.parse_args()
+    found = {
+        "moves": moved(asked.seed),
+        "planned": unowned(asked.seed),
+        "after_death": after_death(asked.seed),
+        "pool": shared(asked.seed),
+    }
+    if asked.json:
+        sys.stdout.buffer.write(orjson.dumps(found, option=orjson.OPT_INDENT_2 | orjson.OPT_APPEND_NEWLINE))
+    else:
+        for what, figures in found.items():
+            print(f"{what}: {figures}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/hillchute/lab/partners_net.py
@@ -0,0 +1,398 @@
+"""Routers of several partners over one network that loses, delays, repeats and cuts, in simulated time:
+offers and texts, titles of slots, queries that are passed on; on top of the history's net, whose clients,
+engines and faults these are. What breaks a rule is told by what clients and engines saw.
+
+Owns the partners, their hands and files, and the counts of rules broken by them. Must never know how a router
+decides.
+"""
+
+import random
+from collections import Counter, defaultdict
+from collections.abc import Callable
+
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+
+from hillchute.decision.interface import Time
+from hillchute.errors import DatagramDropped, TextNotTaken
+from hillchute.history.codec import Message
+from hillchute.history.codec import decode as history_decode
+from hillchute.history.codec import encode as history_encode
+from hillchute.history.keeper import Keeper
+from hillchute.history.policy import Book
+from hillchute.history.records import FINISHED, FREED
+from hillchute.history.slots import SLOTS, holders
+from hillchute.history.verdict import Verdict
+from hillchute.lab import history_net
+from hillchute.lab.history_net import EPOCH, PATIENCE, SECOND, STEP, HistoryNet, founded
+from hillchute.partners import codec
+from hillchute.partners.agreement import WHOLE, Check, Marker, Offer
+from hillchute.partners.council import Council
+from hillchute.partners.marks import checker, signer
+from hillchute.partners.passing import Passing
+from hillchute.router.reducer import TABLES
+
+HISTORY, PARTNERS = b"h", b"p"  # before a message's bytes, as the datagrams' kinds tell them apart
+YEAR = 365 * 86_400 * SECOND
+ANSWERED_BY: Time = 2 * SECOND  # after its patience a client must have its answer: a step, a pause's end
+
+
+def private(partner: str) -> bytes:
+    return partner.encode().ljust(32, b"-")
+
+
+def public(partner: str) -> bytes:
+    return Ed25519PrivateKey.from_private_bytes(private(partner)).public_key().public_bytes_raw()
+
+
+class PartnersNet(HistoryNet):
+    def __init__(self, seed: int, count: int, book: Book, partners: str = "abc", **faults: float) -> None:
+        names = [f"n{n}" for n in range(count)]
+        self.partners = {p: names[n :: len(partners)] for n, p in enumerate(partners)}
+        self.partner_of = {name: p for p, some in self.partners.items() for name in some}
+        self.councils: dict[str, Council] = {}
+        self.passings: dict[str, Passing] = {}
+        self.files: dict[str, dict[int, bytes]] = defaultdict(dict)  # of each partner, over restarts
+        self.offers: dict[str, Offer] = {}
+        self.check: Check = checker({p: public(p) for p in self.partners})
+        self.asks: dict[int, list] = {}  # name, life, asked, patience, answers: of each query of a client
+        self.ask_of: dict[tuple[str, int, int], int] = {}  # by claim, and by errand
+        self.errand_of: dict[tuple[str, int, int], int] = {}
+        self.errands: dict[tuple[str, int, int], int] = {}  # all that ever were
+        self.session_of: dict[tuple[str, int, int], int] = {}  # of claims for guests
+        self.led: dict[str, list[tuple[Time, Time, str]]] = defaultdict(list)  # key: when, by whose router
+        self.ran_for: set[int] = set()  # queries of clients that ran
+        self.turned_away: set[int] = set()  # and those that were told that they did not
+        self.hops: Counter[str] = Counter()
+        self.numbers = 0
+        super().__init__(seed, count, book, **faults)
+
+    # ---- routers ------------------------------------------------------------------------------------
+
+    def keeper(self, name: str, now: Time, living: Callable[[], dict[str, int]]) -> Keeper:
+        life, partner = self.lives[name], self.partner_of[name]
+        council = Council(name, partner, self.partners, self.check, self.seed, now, self.hand(name))
+        self.councils[name] = council
+        if council.marker is not None and partner in self.offers:
+            self.said_offer(name, self.offers[partner])
+
+        def over(other: str, other_life: int) -> bool:
+            return living().get(other) != other_life
+
+        self.passings[name] = Passing(name, life, living, over)
+        return Keeper(name, life, self.names, self.book, now, living, deeds=council)
+
+    def hand(self, name: str) -> Marker | None:
+        partner = self.partner_of[name]
+        if name != self.partners[partner][0]:
+            return None
+        kept = self.files[partner]
+
+        def save(number: int, sealed: bytes) -> bool:
+            kept[number] = sealed
+            return True
+
+        return Marker(partner, signer(private(partner)), save, dict(kept))
+
+    def kill(self, name: str) -> None:
+        for kept in (self.councils, self.passings):
+            kept.pop(name, None)
+        for kept in (self.ask_of, self.errand_of, self.session_of):
+            for claim in [claim for claim in kept if claim[0] == name]:
+                del kept[claim]
+        self.asks = {ask: about for ask, about in self.asks.items() if about[0] != name}
+        super().kill(name)
+
+    def offer(
+        self, partner: str, want: int, least: int = 500, most: int = WHOLE, capacity: int = 100
+    ) -> None:
+        """The operator of a partner makes an offer, at the router that marks; it holds over restarts."""
+        turn = self.offers[partner].turn + 1 if partner in self.offers else 1
+        ends = EPOCH + YEAR
+        said = Offer(partner, turn, 100, want, least, most, 0, ends, 5 * SECOND, 10 * SECOND)
+        self.offers[partner] = said
+        name = self.partners[partner][0]
+        if name in self.councils and name not in self.stopped:
+            self.said_offer(name, said)
+
+    def said_offer(self, name: str, said: Offer) -> None:
+        try:
+            self.councils[name].offer(self.clock(name), said)
+        except TextNotTaken:
+            self.hops["offers not taken"] += 1
+
+    def agree(self, **wants: int) -> None:
+        for partner in self.partners:
+            self.offer(partner, wants.get(partner, WHOLE // len(self.partners)))
+
+    # ---- the network --------------------------------------------------------------------------------
+
+    def encoded(self, message: Message | codec.Message) -> bytes:
+        if isinstance(message, codec.Message):
+            return PARTNERS + codec.encode(message)
+        return HISTORY + history_encode(message)
+
+    def arrive(self, sender: str, to: str, data: bytes) -> None:
+        if to in self.stopped:
+            self.stopped[to].append((sender, data))
+            return
+        if to not in self.keepers:
+            return
+        now = self.clock(to)
+        if data[:1] == HISTORY:
+            self.keepers[to].receive(now, sender, history_decode(data[1:], sender))
+        elif data[:1] == PARTNERS:
+            message = codec.decode(data[1:], sender)
+            if isinstance(message, codec.Have | codec.Know):
+                self.councils[to].heard(now, sender, message)
+            else:
+                self.passings[to].receive(now, sender, message)
+        else:
+            raise DatagramDropped("of no kind", sender)
+        self.post(to)
+
+    def tick(self, name: str) -> None:
+        now = self.clock(name)
+        self.councils[name].tick(now, self.seen[name].keys())
+        self.passings[name].tick(now)
+        super().tick(name)
+
+    def post(self, name: str) -> None:
+        super().post(name)
+        if name not in self.keepers:
+            return
+        self.take_guests(name)
+        for part in (self.councils[name], self.passings[name]):
+            out, part.out = part.out, []
+            for to, message in out:
+                self.send(name, to, message)
+
+    # ---- clients ------------------------------------------------------------------------------------
+
+    def ask(self, name: str, token: str, key: str, patience: Time = PATIENCE) -> None:
+        self.numbers += 1
+        if name not in self.keepers or name in self.stopped:
+            self.said["nobody there"] += 1
+            return
+        self.asks[self.numbers] = [name, self.lives[name], self.now, patience, 0]
+        claim = self.claim(name, token, key, patience)
+        self.ask_of[claim] = self.numbers
+        self.post(name)
+
+    def claim(self, name: str, token: str, key: str, patience: Time) -> tuple[str, int, int]:
+        once, now = key.startswith(TABLES), self.clock(name)
+        number = self.keepers[name].claim(now, "", key, token, now + patience, not once, once)
+        claim = name, self.lives[name], number
+        self.open[claim] = token, key, self.now
+        return claim
+
+    def change(self, name: str, tables: int) -> None:
+        """A mutating query: no token, nothing that could be answered again."""
+        self.ask(name, f"once{self.numbers}", f"{TABLES}{tables}")
+
+    def answered(self, ask: int, how: str) -> None:
+        """One of a client's queries has its final answer."""
+        self.said[f"answered {how}"] += 1
+        if how == "deferred":
+            self.turned_away.add(ask)
+            self.rule["deferred and ran"] += ask in self.ran_for
+        if ask in self.asks:
+            self.asks[ask][4] += 1
+            if self.asks[ask][4] > 1:
+                self.rule["two answers"] += 1
+
+    def judged(self, name: str, keeper: Keeper) -> None:
+        verdicts, keeper.verdicts = keeper.verdicts, []
+        for number, verdict, why, rows in verdicts:
+            claim = name, self.lives[name], number
+            if claim not in self.open:
+                self.rule["answered twice"] += 1
+                continue
+            token, key, asked = self.open[claim]
+            self.said[f"{verdict.name}: {why}"] += 1
+            if verdict is Verdict.RUN:
+                self.run(claim, token, key)
+                continue
+            del self.open[claim]
+            if verdict is Verdict.ANSWER and rows != f"rows of {token}".encode():
+                self.rule["wrong answer"] += 1
+            if verdict is Verdict.ANSWER and self.too_late(token):
+                self.rule["kept too long"] += 1
+            self.over(claim, verdict, why, rows, token, key, asked)
+
+    def over(
+        self,
+        claim: tuple[str, int, int],
+        verdict: Verdict,
+        why: str,
+        rows: bytes | None,
+        token: str,
+        key: str,
+        asked: Time,
+    ) -> None:
+        """A claim that does not run here is answered, or passed on if it came from a client."""
+        name, life, _ = claim
+        session, ask = self.session_of.pop(claim, None), self.ask_of.pop(claim, None)
+        how = {Verdict.ANSWER: "finished", Verdict.KILL: "killed"}.get(verdict, "deferred")
+        if session is not None:
+            self.passings[name].answered(self.clock(name), session, how, why, rows)
+            return
+        if verdict is Verdict.PASS:
+            self.hops["passed on"] += 1
+            passing, now = self.passings[name], self.clock(name)
+            to = passing.choose(self.partners.get(why, ()), "", key)
+            if to is not None:
+                left = max(0, asked + PATIENCE - self.now)
+                once = key.startswith(TABLES)
+                message = codec.Pass(
+                    0, 0, 0, token, "g", key.encode(), None if once else token, None, 0.0, None, "", left
+                )
+                errand = passing.send(now, to, message, now + left)
+                self.errand_of[name, life, errand] = self.errands[name, life, errand] = ask
+                return
+        self.answered(ask, how)
+
+    def take_guests(self, name: str) -> None:
+        """Queries that were passed on come and end."""
+        passing, life = self.passings[name], self.lives[name]
+        came, passing.came = passing.came, []
+        for session, message in came:
+            self.hops["came"] += 1
+            claim = self.claim(name, message.id, message.statement.decode(), message.left)
+            self.session_of[claim] = session
+        ended, passing.ended = passing.ended, []
+        for number, how, _, rows in ended:
+            ask = self.errand_of.pop((name, life, number), None)
+            if how == "finished" and rows is None:
+                self.rule["wrong answer"] += 1
+            if ask is not None:
+                self.answered(ask, how)
+        if came:
+            super().post(name)
+
+    def run(self, claim: tuple[str, int, int], token: str, key: str) -> None:
+        before = len(self.runs[token])
+        super().run(claim, token, token if key.startswith(TABLES) else key)  # mutating ones have no order
+        if len(self.runs[token]) == before:
+            return
+        ask = self.ask_for(claim)
+        if ask is not None:
+            self.ran_for.add(ask)
+            self.rule["deferred and ran"] += ask in self.turned_away
+        begin, end = self.runs[token][-1]
+        partner = self.partner_of[claim[0]]
+        if any(b < end and begin < e and other != partner for b, e, other in self.led[key]):
+            self.rule["two owners"] += 1
+        self.led[key].append((begin, end, partner))
+
+    def ask_for(self, claim: tuple[str, int, int]) -> int | None:
+        """The client's query that a claim is for, also where it was passed on."""
+        session = self.session_of.get(claim)
+        if session is None:
+            return self.ask_of.get(claim)
+        guest = self.passings[claim[0]].by_session[session]
+        return self.errands.get((guest.sender, guest.life, guest.number))
+
+    def ended(self, claim: tuple[str, int, int], state: int, rows: bytes | None = None) -> None:
+        session, ask = self.session_of.pop(claim, None), self.ask_of.pop(claim, None)
+        how = {FINISHED: "finished", FREED: "deferred"}.get(state, "killed")
+        if session is not None:
+            self.passings[claim[0]].answered(self.clock(claim[0]), session, how, "", rows)
+        elif ask is not None:
+            self.answered(ask, how)
+        super().ended(claim, state, rows)
+
+    # ---- what is looked at beside -------------------------------------------------------------------
+
+    def unanswered(self) -> int:
+        """Clients whose router lived all the while, and whose answer is due and has not come."""
+        return sum(
+            not answers and self.now > asked + patience + ANSWERED_BY
+            for name, life, asked, patience, answers in self.asks.values()
+            if self.lives[name] == life and name in self.keepers and name not in self.stopped
+        )
+
+    def owners(self) -> list[str]:
+        """By the titles at the slots' first holders; "" where there is none."""
+        some = next(iter(self.keepers.values())).views.view
+        found = []
+        for slot in range(SLOTS):
+            first = holders(slot, some.members, 1)[0]
+            title = self.keepers[first].slots[slot].title if first in self.keepers else None
+            found.append(title.owner if title is not None else "")
+        return found
+
+    def agreed(self, most: float = 60) -> bool:
+        """Plays until all go by one text and every slot is whose it is by that."""
+        since = self.now
+        while self.now - since < most * SECOND:
+            self.advance(0.5)
+            councils = [c for n, c in self.councils.items() if n not in self.stopped]
+            numbers = {c.number for c in councils} | {c.named(self.now) for c in councils}
+            if len(numbers) == 1 and 0 not in numbers:
+                owners = [owner or "" for owner in councils[0].owners]
+                if all(owners) and owners == self.owners():
+                    return True
+        return False
+
+
+def rush(net: PartnersNet, seed: int, swings: int = 6) -> bool:
+    """Agreements that move most slots to and fro while a few keys and table groups are asked for all along,
+    and now and then a router dies as it moves a title. Whether it all came to rest."""
+    chance, number = random.Random(seed), 0
+    partners = list(net.partners)
+    for swing in range(swings):
+        gainer = partners[swing % len(partners)]
+        for partner in partners:
+            net.offer(partner, 8000 if partner == gainer else 1000)
+        until = net.now + 4 * SECOND
+        killer = chance.random() < 0.5
+        while net.now < until:
+            for name in chance.sample(net.names, 3):
+                number += 1
+                if chance.random() < 0.5:
+                    net.change(name, chance.randint(0, 3))
+                else:
+                    net.ask(name, f"r{number}", f"k{chance.randint(0, 5)}")
+            net.advance(STEP / SECOND)
+            moved = [n for n, k in net.keepers.items() if k.counts["titles moved"] or k.moving]
+            if killer and net.now > until - 2 * SECOND and moved and len(net.keepers) == len(net.names):
+                net.kill(chance.choice(moved))
+        net.advance(6)
+        for name in net.names:
+            if name not in net.keepers:
+                net.start(name)
+    return net.settled(60) and net.agreed(60)
+
+
+def storm(net: PartnersNet, seed: int, seconds: float, turns: float = 0.2) -> bool:
+    """The history's storm, with mutating queries and new offers among the rest; then all is mended. `turns`:
+    the part of strikes that are offers. Whether it all came to rest."""
+    chance, tokens = random.Random(seed), []
+    quiet, end = net.now, net.now + int(seconds * SECOND)
+    while net.now < end:
+        for _ in range(chance.randint(0, 4)):
+            name = chance.choice(net.names)
+            if chance.random() < 0.3:
+                net.change(name, chance.randint(0, 9))
+            elif not tokens or chance.random() >= 0.3:
+                tokens.append((f"t{len(tokens)}", f"k{chance.randint(0, 20)}"))
+                net.ask(name, *tokens[-1])
+            else:
+                net.ask(name, *chance.choice(tokens[-30:]))
+        if net.now >= quiet:
+            if chance.random() < turns:
+                net.offer(chance.choice(list(net.partners)), chance.randint(500, 6000))
+            else:
+                history_net.strike(net, chance, False)
+            quiet = net.now + chance.choice([0, 0, 2, 6, 12]) * SECOND
+        net.advance(chance.choice([0.1, 0.2, 0.5]))
+    net.mend()
+    for name in net.names:
+        if name in net.stopped:
+            net.go_on(name)
+        if name not in net.keepers:
+            net.start(name)
+    return net.settled(60) and net.agreed(60)
+
+
+__all__ = ["SECOND", "STEP", "PartnersNet", "founded", "rush", "storm"]
--- a/hillchute/lab/workers.py
+++ b/hillchute/lab/workers.py
@@ -1,7 +1,7 @@
 """Processes that share a rig's work.
 
-Owns how they start. Must never fork: whoever plays mutants may have threads (a test run has those of gRPC),
-and a fork copies the locks that they hold, but not the threads that would give them back.
+Owns how they start. Must never fork: whoever plays mutants may have threads. A test run has those of gRPC,
+whose fork handler then turns round in each worker for ever, waiting for threads that the fork did not copy.
 """
 
 from concurrent.futures import ProcessPoolExecutor
--- a/hillchute/lab/world.py
+++ b/hillchute/lab/world.py
@@ -86,6 +86,7 @@
     ended: float | None = None
     result: str = "open"
     effect: bool = False  # it changed something, or would have
+    talk: int = 0  # the connection that it came by
 
 
 @dataclass
@@ -98,6 +99,8 @@
     tokens: dict[str, float] = field(default_factory=dict)
     used: Counter = field(default_factory=Counter)
     drained: dict[str, float] = field(default_factory=dict)  # engine: when it was told
+    talks: dict[int, int] = field(default_factory=dict)  # connections that are open: the other end's port
+    talked: int = 0  # how many there ever were
 
     def clock(self) -> float:
         return time.time()
@@ -132,9 +135,9 @@
         if self.world.next_of("full", id, plan.full) or len(self.held) >= self.most:
             raise Full
 
-    async def run(self, id: str, group: str, token: str | None, plan: Plan) -> float:
+    async def run(self, id: str, group: str, token: str | None, plan: Plan, talk: int = 0) -> float:
         """Runs a submission to its end; the work in milliseconds. Raises Failed."""
-        ran = Ran(id, group, token, self.name, self.world.clock())
+        ran = Ran(id, group, token, self.name, self.world.clock(), talk=talk)
         self.world.ran.append(ran)
         self.held[id] = ran
         is_load = token is not None
--- a/hillchute/operator/reading.py
+++ b/hillchute/operator/reading.py
@@ -39,6 +39,8 @@
         hold_peers(settings["peers"], name)
     if settings.get("history"):
         hold_history(settings, name)
+    if settings.get("partners"):
+        hold_partners(settings, name)
     return settings
 
 
@@ -77,6 +79,47 @@
             raise BadRecord(f"{name}: history: {where}.least_ms: expected at most {where}.most_ms")
 
 
+def hold_partners(settings: dict[str, object], name: str) -> None:
+    """Each router is one partner's, this one is the own partner's; who marks has all that it needs for it."""
+    partners, here = settings["partners"], f"{name}: partners"
+    if not settings.get("history"):
+        raise BadRecord(f"{here}: expected `history`, whose holders keep whose each slot is")
+    whose: dict[str, str] = {}
+    for n, member in enumerate(partners["members"]):
+        if member["name"] in [other["name"] for other in partners["members"][:n]]:
+            raise BadRecord(f"{here}.members[{n}].name: {member['name']} stands twice")
+        for router in member["routers"]:
+            if router in whose:
+                raise BadRecord(f"{here}.members[{n}].routers: {router} is {whose[router]}'s")
+            whose[router] = member["name"]
+    peers = settings["peers"]
+    for router in (peers["name"], *(other["name"] for other in peers["others"])):
+        if router not in whose:
+            raise BadRecord(f"{here}.members: expected router {router} of `peers` in one of them")
+    if whose[peers["name"]] != partners["own"]:
+        raise BadRecord(f"{here}.own: router {peers['name']} is {whose[peers['name']]}'s")
+    marks = [key in partners for key in ("offer", "key_file", "marks_file")]
+    if any(marks) != all(marks):
+        raise BadRecord(f"{here}: expected offer, key_file and marks_file together, on the router that marks")
+    if any(marks):
+        offer = partners["offer"]
+        if not offer["least"] <= offer["want"] <= offer["most"]:
+            raise BadRecord(f"{here}.offer: expected least <= want <= most")
+        if offer["begins_ms"] >= offer["ends_ms"]:
+            raise BadRecord(f"{here}.offer.ends_ms: expected more than begins_ms")
+        partners["secret"] = secret(partners["key_file"], f"{here}.key_file")
+
+
+def secret(path: str, here: str) -> bytes:
+    try:
+        key = bytes.fromhex(Path(path).read_text(encoding="ascii").strip())
+    except (OSError, ValueError) as fault:
+        raise BadRecord(f"{here}: {path}: {fault}") from None
+    if len(key) != 32:
+        raise BadRecord(f"{here}: {path}: expected 64 hex digits")
+    return key
+
+
 def defaults() -> dict[str, object]:
     """What holds where there is no operator file."""
     return hold("", "no file")
--- a/hillchute/operator/schema.cue
+++ b/hillchute/operator/schema.cue
@@ -15,6 +15,9 @@
 // The keyed queries' answer history, kept by the routers together; needs `peers`.
 history?: #History
 
+// Other operators with whom the pool of engines is shared; needs `history`.
+partners?: #Partners
+
 #Flight: {
 	// Where Flight SQL clients connect.
 	listen: string & =~"^(\\[[0-9a-fA-F:]+\\]|[^:\\[\\]]+):[0-9]+$"
@@ -130,6 +133,50 @@
 	key?: string
 }
 
+#Partners: {
+	// Which of them runs this router.
+	own: string & =~"^[!-~]{1,64}$"
+	// All of them, the same at all routers; a text holds with the mark of every one.
+	members: [...#Member]
+	// What the own partner would agree to; on the one router that marks for it.
+	offer?: #PartnerOffer
+	// The file that holds the own partner's Ed25519 key, 64 hex digits; on that router alone.
+	key_file?: string
+	// The file in which that router keeps what it has marked, over restarts.
+	marks_file?: string
+	// Whether the own partner gives notice to the text that holds.
+	leave: bool | *false
+}
+
+#Member: {
+	name: string & =~"^[!-~]{1,64}$"
+	// Its Ed25519 public key, 64 hex digits.
+	key: string & =~"^[0-9a-f]{64}$"
+	// Its routers, by their names under `peers`.
+	routers: [...string]
+	// Its engines: those of these zones and these kinds, by their names in the settings; none: of any.
+	zones: [...string]
+	kinds: [...string]
+}
+
+#PartnerOffer: {
+	// Which offer this is; a later one has a higher turn.
+	turn: int & >=1 & <=1000000000
+	// Cores that it brings.
+	capacity: int & >=0 & <=100000000
+	// The share that it wants, and the bounds of what it would agree to, in parts of 10,000.
+	want: int & >=0 & <=10000
+	least: int & >=0 & <=10000
+	most: int & >=0 & <=10000
+	// From when until when, in Unix milliseconds.
+	begins_ms: int & >=0 & <=100000000000000
+	ends_ms: int & >=1 & <=100000000000000
+	// How long a partner's engines may be gone before it counts with those that are there, in milliseconds.
+	grace_ms: int & >=0 & <=31622400000 | *60000
+	// How long before it leaves a partner must say so, in milliseconds.
+	notice_ms: int & >=0 & <=31622400000 | *3600000
+}
+
 #Engines: {
 	// The protocol that all sql engines speak.
 	protocol: *"line" | "flight"
--- a/hillchute/partners/agreement.py
+++ b/hillchute/partners/agreement.py
@@ -3,11 +3,13 @@
 Owns offers, texts, marks and the rule by which one text holds. Pure: the time comes in, marks are made and
 checked by what the caller gives (Ed25519, see marks.py). Must never know a slot, or send anything.
 
-A text is in force from its own time on, once every partner has marked it; of several the one with the highest
-number. A partner marks at most one text for a number, and numbers that rise; it keeps what it marked before
-it gives the mark away. So whatever is lost, repeated, late or crashes in between, there is the old text or
-the new one: a new one that lacks a mark is none, and the old one stands to its end. That routers hear of a
-new text at different times is not settled here (docs/partners.md).
+A text names the owner of every slot: they follow from the owners by the text before and the shares, so that a
+router that has this text alone knows as much as all others. It is in force from its own time on, once every
+partner has marked it; of several the one with the highest number. A partner marks at most one text for a
+number, and numbers that rise; it keeps what it marked before it gives the mark away. So whatever is lost,
+repeated, late or crashes in between, there is the old text or the new one: a new one that lacks a mark is
+none, and the old one stands to its end. That routers hear of a new text at different times is settled in
+council.py.
 
 Times are whole tenths of a millisecond, Unix.
 """
@@ -19,10 +21,13 @@
 
 from hillchute.decision.interface import Time
 from hillchute.errors import TextNotTaken
+from hillchute.history.slots import SLOTS
+from hillchute.partners.split import Owners, split
 
 WHOLE = 10_000  # parts that all shares add up to
 PARTNERS = 64
 NAME = 64
+TEXTS = 16  # of one partner: texts that it marked and that are remembered, the highest numbers
 
 
 class Offer(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
@@ -36,6 +41,8 @@
     most: int
     begins: Time
     ends: Time
+    grace: Time = 0  # it bears that a partner's engines are gone for so long
+    notice: Time = 0  # and wants to hear so long before that one goes
 
 
 class Text(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
@@ -46,10 +53,16 @@
     ends: Time
     grace: Time  # a partner whose engines are gone for longer counts with what it still brings
     notice: Time  # so long before it goes a partner says so
+    owners: bytes  # of each slot, as a place in the partners' names in order
+    before: int = 0  # the number of the text that it goes on from
+
+    def owner_names(self) -> Owners:
+        names = sorted(self.shares)
+        return tuple(names[n] for n in self.owners)
 
 
 class Mark(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
-    """One partner's mark on a text, or on its notice."""
+    """One partner's mark on a text, on an offer of a turn (`number`), or on its notice."""
 
     partner: str
     number: int
@@ -70,7 +83,7 @@
 Check = Callable[[str, bytes, bytes], bool]  # partner, what was marked, the mark
 
 
-def digest(value: Text | Notice) -> bytes:
+def digest(value: Text | Notice | Offer) -> bytes:
     """What is marked: the kind and all fields, in one order."""
     return blake2b(type(value).__name__.encode() + encoder.encode(value), digest_size=32).digest()
 
@@ -89,12 +102,29 @@
         return "ends"
     if not (0 <= text.grace < 1 << 50 and 0 <= text.notice < 1 << 50):
         return "grace"
+    if not 0 <= text.before < text.number:
+        return "before"
+    if len(text.owners) != SLOTS or max(text.owners) >= len(text.shares):
+        return "owners"
     return ""
 
 
-def settle(offers: Iterable[Offer], number: int, grace: Time, notice: Time) -> Text:
-    """The text that follows from all offers: each partner's share as it wants it, or as near as the others'
-    bounds leave it. Everybody comes to the same one. Raises TextNotTaken with what can't be met."""
+def unfit_offer(offer: Offer) -> str:
+    if not 0 < len(offer.partner) <= NAME:
+        return "partner"
+    if not 0 <= offer.least <= offer.want <= offer.most <= WHOLE:
+        return "want"
+    if not (0 <= offer.turn < 1 << 53 and 0 <= offer.capacity < 1 << 53):
+        return "turn"
+    if not 0 <= offer.begins < offer.ends < 1 << 60:
+        return "ends"
+    return "" if 0 <= offer.grace < 1 << 50 and 0 <= offer.notice < 1 << 50 else "grace"
+
+
+def settle(offers: Iterable[Offer], number: int, last: Text | None = None) -> Text:
+    """The text that follows from all offers and the text before: each partner's share as it wants it, or as
+    near as the others' bounds leave it, the slots with the fewest moves, of grace and notice the longest that
+    anybody wants. Everybody comes to the same one. Raises TextNotTaken with what can't be met."""
     offers = sorted(offers, key=lambda offer: offer.partner)
     if not offers:
         raise TextNotTaken("nobody offers anything")
@@ -109,7 +139,19 @@
     if begins >= ends:
         raise TextNotTaken("the times offered have none in common", "begins")
     shares = fitted({o.partner: (o.least, o.want, o.most) for o in offers})
-    return Text(number, shares, {o.partner: o.capacity for o in offers}, begins, ends, grace, notice)
+    held = last.owner_names() if last is not None else (None,) * SLOTS
+    names, owners = sorted(shares), split(held, shares)
+    return Text(
+        number,
+        shares,
+        {o.partner: o.capacity for o in offers},
+        begins,
+        ends,
+        max(o.grace for o in offers),
+        max(o.notice for o in offers),
+        bytes(names.index(owner) for owner in owners),
+        last.number if last is not None else 0,
+    )
 
 
 def fitted(bounds: Mapping[str, tuple[int, int, int]]) -> dict[str, int]:
@@ -159,6 +201,10 @@
         self.marked[text.number] = sealed
         return Mark(self.me, text.number, sealed, self.sign(sealed))
 
+    def offer(self, offer: Offer) -> Mark:
+        """Guards against an offer that somebody else makes in this partner's name."""
+        return Mark(self.me, offer.turn, digest(offer), self.sign(digest(offer)))
+
     def leave(self, text: Text, now: Time) -> tuple[Notice, Mark]:
         """Notice to a text, as early as it allows."""
         notice = Notice(self.me, text.number, now + text.notice)
@@ -166,71 +212,159 @@
 
 
 class Ledger:
-    """All that one router knows of texts and marks; every router comes to the same from the same."""
+    """All that one router knows of offers, texts and marks; every router comes to the same from the same, in
+    whatever order and however often it comes."""
 
     def __init__(self, partners: Iterable[str], check: Check) -> None:
         """`partners`: as the operator files name them; a text needs the marks of all of them."""
         self.partners, self.check = frozenset(partners), check
+        self.offers: dict[str, tuple[Offer, Mark]] = {}  # the last of each
         self.texts: dict[bytes, Text] = {}
         self.marks: dict[bytes, dict[str, Mark]] = {}
-        self.notices: dict[tuple[int, str], Notice] = {}
-        self.two_texts: dict[str, int] = {}  # who marked two texts for one number, and the lowest such
+        self.notices: dict[tuple[int, str], tuple[Notice, Mark]] = {}
+        self.two_texts: dict[str, tuple[Mark, Mark]] = {}  # of whom there are two marks for one number
+        self.complete: dict[int, Text] = {}  # by number: texts with the marks of all that have a part in it
+        self.accepted: dict[int, Text] = {}  # those of them in which every partner has one
+
+    def named(self, partners: Iterable[str], check: Check) -> None:
+        """The operator names other partners. What was accepted stays."""
+        self.partners, self.check = frozenset(partners), check
+
+    # ---- what is heard ----------------------------------------------------------------------------
+
+    def hear_offer(self, offer: Offer, mark: Mark) -> bool:
+        """Of two offers of one turn everybody keeps the same."""
+        fits = mark.partner == offer.partner and mark.digest == digest(offer) and not unfit_offer(offer)
+        if not fits or not self.signed(mark):
+            return False
+        known = self.offers.get(offer.partner)
+        if known is None or (offer.turn, mark.digest) > (known[0].turn, known[1].digest):
+            self.offers[offer.partner] = offer, mark
+        return True
 
     def hear(self, text: Text) -> bool:
-        """A text; whether it is sound."""
+        """A text; whether it is sound. Guards against texts without end: of those that nobody has marked some
+        are remembered."""
         if unfit(text) or not text.shares.keys() <= self.partners:
             return False
-        self.texts[digest(text)] = text
+        sealed = digest(text)
+        loose = [known for known in self.texts if known not in self.marks]
+        if sealed not in self.marks and len(loose) >= TEXTS:
+            del self.texts[loose[0]]
+        self.texts[sealed] = text
+        self.accept(sealed)
         return True
 
     def hear_mark(self, mark: Mark) -> bool:
-        if mark.partner not in self.partners or not self.check(mark.partner, mark.digest, mark.mark):
+        """Guards against one that marks without end: of each partner some of the highest are remembered."""
+        if not self.signed(mark):
             return False
-        for sealed, marks in self.marks.items():
-            other = marks.get(mark.partner)
-            if other is not None and other.number == mark.number and sealed != mark.digest:
-                self.two_texts[mark.partner] = min(self.two_texts.get(mark.partner, mark.number), mark.number)
+        if mark.digest in self.marks and mark.partner in self.marks[mark.digest]:
+            return True
+        mine = sorted(
+            (marks[mark.partner].number, sealed)
+            for sealed, marks in self.marks.items()
+            if mark.partner in marks
+        )
+        for number, sealed in mine:
+            if number == mark.number and sealed != mark.digest:
+                self.hear_two(self.marks[sealed][mark.partner], mark)
+        if len(mine) >= TEXTS:
+            if mark.number <= mine[0][0]:
+                return True
+            self.forget(mine[0][1], mark.partner)
         self.marks.setdefault(mark.digest, {})[mark.partner] = mark
+        self.accept(mark.digest)
+        return True
+
+    def hear_two(self, one: Mark, other: Mark) -> bool:
+        """Two marks of one partner for one number: of several such pairs the lowest counts."""
+        fits = one.partner == other.partner and one.number == other.number and one.digest != other.digest
+        if not fits or not (self.signed(one) and self.signed(other)):
+            return False
+        pair = (one, other) if one.digest < other.digest else (other, one)
+        known = self.two_texts.get(one.partner)
+        if known is None or proof(pair) < proof(known):
+            self.two_texts[one.partner] = pair
         return True
 
     def hear_notice(self, notice: Notice, mark: Mark) -> bool:
         fits = mark.partner == notice.partner and mark.digest == digest(notice)
-        if not fits or not self.check(mark.partner, mark.digest, mark.mark):
+        if not fits or not self.signed(mark):
             return False
         known = self.notices.get((notice.number, notice.partner))
-        if known is None or notice.at < known.at:
-            self.notices[notice.number, notice.partner] = notice
+        if known is None or notice.at < known[0].at:
+            self.notices[notice.number, notice.partner] = notice, mark
         return True
 
-    def complete(self) -> list[Text]:
-        """Texts with every mark, by number. A mark whose number is not the text's is none."""
-        return sorted(
-            (
-                text
-                for sealed, text in self.texts.items()
-                if {n for n, m in self.marks.get(sealed, {}).items() if m.number == text.number}
-                >= self.partners
-            ),
-            key=lambda text: text.number,
-        )
+    def signed(self, mark: Mark) -> bool:
+        return mark.partner in self.partners and self.check(mark.partner, mark.digest, mark.mark)
+
+    def forget(self, sealed: bytes, partner: str) -> None:
+        self.marks[sealed].pop(partner)
+        if not self.marks[sealed]:
+            del self.marks[sealed]
+            self.texts.pop(sealed, None)
+
+    def accept(self, sealed: bytes) -> None:
+        """A text with every mark is accepted. A mark whose number is not the text's is none. Guards against
+        some that agree without the others: theirs is complete, as what a later one goes on from, no more."""
+        text, marks = self.texts.get(sealed), self.marks.get(sealed, {})
+        if text is None or any(
+            name not in marks or marks[name].number != text.number for name in text.shares
+        ):
+            return
+        self.complete[text.number] = text
+        if text.shares.keys() >= self.partners:
+            self.accepted[text.number] = text
+
+    # ---- what follows -----------------------------------------------------------------------------
+
+    def last(self) -> Text | None:
+        """The accepted text with the highest number."""
+        return self.accepted[max(self.accepted)] if self.accepted else None
 
     def in_force(self, now: Time) -> Text | None:
-        """The highest complete text whose time has come; none after its end, until another begins."""
-        begun = [text for text in self.complete() if text.begins <= now]
-        return begun[-1] if begun and now < begun[-1].ends else None
+        """The highest accepted text whose time has come; none after its end, until another begins."""
+        begun = [number for number, text in self.accepted.items() if text.begins <= now]
+        text = self.accepted[max(begun)] if begun else None
+        return text if text is not None and now < text.ends else None
+
+    def gone(self, text: Text, now: Time) -> frozenset[str]:
+        """Who has no part any more, though the text holds: whose notice has run out, and who marked two texts
+        for its number or an earlier one."""
+        left = {
+            name
+            for (number, name), (notice, _) in self.notices.items()
+            if number == text.number and notice.at <= now
+        }
+        two = {name for name, (mark, _) in self.two_texts.items() if mark.number <= text.number}
+        return frozenset(left | two)
 
     def shares(self, now: Time) -> dict[str, int]:
-        """Whose slots how many parts are. A partner whose notice has run out has none, nor has one that
-        marked two texts for the number in force or an earlier one: the others have its part, as their shares
+        """Whose slots how many parts are; the others have the part of one that is gone, as their shares
         are."""
         text = self.in_force(now)
         if text is None:
             return {}
-        gone = {
-            n for (number, n), notice in self.notices.items() if number == text.number and notice.at <= now
-        }
-        gone |= {name for name, number in self.two_texts.items() if number <= text.number}
-        left = {name: share for name, share in text.shares.items() if name not in gone}
+        left = {name: share for name, share in text.shares.items() if name not in self.gone(text, now)}
         if not sum(left.values()):
             return {}
         return {name: left.get(name, 0) for name in text.shares}
+
+    def prune(self, held: int) -> None:
+        """Texts before the one that holds are over, with their marks and notices."""
+        for kept in (self.accepted, self.complete):
+            for number in [n for n in kept if n < held]:
+                del kept[number]
+        for sealed, marks in list(self.marks.items()):
+            if max(mark.number for mark in marks.values()) < held:
+                del self.marks[sealed]
+                self.texts.pop(sealed, None)
+        for number, name in [key for key in self.notices if key[0] < held]:
+            del self.notices[number, name]
+
+
+def proof(pair: tuple[Mark, Mark]) -> tuple[int, bytes, bytes]:
+    """What tells one pair of marks from another."""
+    return pair[0].number, pair[0].digest, pair[1].digest
--- a/hillchute/peers/codec.py
+++ b/hillchute/peers/codec.py
@@ -35,7 +35,8 @@
 
 class Datagram(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
     """`kind`: 0 ping, 1 answer to it, 2 ping asked for through another, 3 word that it was answered, 4 a load
-    alone, 5 a wish for all that the receiver can tell, 6 a piece of a message of the history."""
+    alone, 5 a wish for all that the receiver can tell, 6 a piece of a message of the history, 7 one of the
+    partners'."""
 
     sender: str
     receiver: str
@@ -96,7 +97,7 @@
     for name in ("born", "heard", "sequence", "number"):
         if not 0 <= getattr(datagram, name) < WHOLE:
             return name
-    if not 0 <= datagram.kind <= 6:
+    if not 0 <= datagram.kind <= 7:
         return "kind"
     if datagram.kind in (2, 3) and not datagram.about:
         return "about"
--- a/hillchute/peers/link.py
+++ b/hillchute/peers/link.py
@@ -77,7 +77,7 @@
         self.waiting = anyio.Event()
         self.streams = anyio.CapacityLimiter(STREAMS)
         self.sock: socket.socket | None = None
-        self.heavy: dict[str, deque[bytes]] = {}  # messages too long for a datagram, by peer
+        self.heavy: dict[str, deque[tuple[int, bytes]]] = {}  # too long for a datagram, by peer; with kinds
         self.tasks: anyio.abc.TaskGroup | None = None
 
     def open(self) -> None:
@@ -150,21 +150,22 @@
         self.ride()
 
     def ride(self) -> None:
-        """What the rider wants to say goes: in one datagram if it fits, else by a stream."""
-        if self.node.rider is None or self.tasks is None:
+        """What riders want to say goes: in one datagram if it fits, else by a stream."""
+        if self.tasks is None:
             return
-        for name, message in self.node.rider.out():
+        some = [(kind, *said) for kind, rider in self.node.riders.items() for said in rider.out()]
+        for kind, name, message in some:
             if name not in self.node.keys or name not in self.addresses:
                 continue
             if len(message) <= PIECE:
-                self.send((name, datagram) for datagram in self.node.pieces(name, message))
+                self.send((name, datagram) for datagram in self.node.pieces(name, kind, message))
                 continue
             waiting = self.heavy.get(name)
             if waiting is None:
                 waiting = self.heavy[name] = deque()
                 self.tasks.start_soon(self.carry, name, waiting)
             if len(waiting) < CARRIED:
-                waiting.append(message)
+                waiting.append((kind, message))
             else:
                 self.counts["not carried"] += 1
 
@@ -177,9 +178,9 @@
 
     def look(self) -> None:
         self.send(self.node.tick(self.clock()))
-        if self.node.rider is not None:
-            self.node.rider.tick(self.clock())
-            self.ride()
+        for rider in self.node.riders.values():
+            rider.tick(self.clock())
+        self.ride()
         self.moved()
 
     def tell(self) -> None:
@@ -259,14 +260,14 @@
             self.counts["streams broken"] += 1
         self.moved()
 
-    async def carry(self, name: str, waiting: deque[bytes]) -> None:
+    async def carry(self, name: str, waiting: deque[tuple[int, bytes]]) -> None:
         """Messages for one peer, on one stream. What a broken one does not bring is said again by whoever
         misses it."""
         try:
             with anyio.move_on_after(STREAM_TIME):
                 async with await anyio.connect_tcp(*self.addresses[name]) as stream:
                     while waiting:
-                        for piece in self.node.pieces(name, waiting.popleft(), large=True):
+                        for piece in self.node.pieces(name, *waiting.popleft(), large=True):
                             await stream.send(LENGTH.pack(len(piece)) + piece)
                             self.counts["bytes"] += len(piece)
                     self.counts["carried"] += 1
--- a/hillchute/peers/node.py
+++ b/hillchute/peers/node.py
@@ -17,7 +17,7 @@
 from hillchute.peers.parts import LARGE, PIECE, cut
 from hillchute.peers.roster import ALIVE, ANSWERED, PING, Roster, Send
 
-LOAD, ALL, HISTORY = 4, 5, 6  # kinds beside those of the roster
+LOAD, ALL, HISTORY, PARTNERS = 4, 5, 6, 7  # kinds beside those of the roster; the last two are riders'
 ALL_EVERY: Time = 50_000  # between two wishes for all: a router that comes back, or a cut that ends
 
 
@@ -34,7 +34,7 @@
 
 
 class Rider(Protocol):
-    """Who has messages of its own, of any length: the answer history."""
+    """Who has messages of its own, of any length: the answer history, the partners."""
 
     def heard(self, now: Time, sender: str, piece: bytes) -> None: ...
 
@@ -50,7 +50,7 @@
         """`born`: Unix milliseconds of this start. `keys`: of the pair with each peer."""
         self.me, self.born, self.keys, self.passenger = me, born, keys, passenger
         self.roster = Roster(me, born, keys, seed, now)
-        self.rider: Rider | None = None
+        self.riders: dict[int, Rider] = {}  # by the kind of their datagrams
         self.messages = 0
         self.windows: defaultdict[str, Window] = defaultdict(Window)  # of those that were ever spoken to
         self.counts: Counter[str] = Counter()  # datagrams to each peer
@@ -76,9 +76,9 @@
             believed = self.windows[datagram.sender].take(datagram, self.born)
             if not believed:
                 return self.unheard(now, datagram)
-            if datagram.kind == HISTORY:
-                if self.rider is not None:
-                    self.rider.heard(now, datagram.sender, datagram.load)
+            if datagram.kind in (HISTORY, PARTNERS):
+                if datagram.kind in self.riders:
+                    self.riders[datagram.kind].heard(now, datagram.sender, datagram.load)
             elif datagram.load:
                 self.passenger.heard(now, datagram.sender, datagram.load)
         except DatagramDropped as fault:
@@ -146,12 +146,12 @@
                     send.rumours = send.rumours[: len(send.rumours) // 2]
                 load = b""
 
-    def pieces(self, to: str, message: bytes, large: bool = False) -> Iterator[bytes]:
+    def pieces(self, to: str, kind: int, message: bytes, large: bool = False) -> Iterator[bytes]:
         """A rider's message as marked pieces; each gets its number as it is taken, so that what goes by a
         stream is not behind what goes meanwhile."""
         self.messages += 1
         for piece in cut(self.messages, message, LARGE if large else PIECE):
-            yield self.marked(Send(to, HISTORY, 0), piece, MOST_ON_STREAM if large else MOST)
+            yield self.marked(Send(to, kind, 0), piece, MOST_ON_STREAM if large else MOST)
 
     def lives(self) -> dict[str, int]:
         """Of this router and of all others that live, as far as is known: when each started."""
--- a/hillchute/router/events.py
+++ b/hillchute/router/events.py
@@ -10,6 +10,7 @@
 from hillchute.engines.events import Connected, Lost, NotConnected, Said
 from hillchute.fronts.events import Asked, Left, Passed, Spoilt
 from hillchute.membership import event_bus
+from hillchute.statements.request import Request
 
 # ---- events ---------------------------------------------------------------------------------------
 
@@ -25,7 +26,8 @@
 
 
 class Judged(NamedTuple):
-    """The answer history's word on a keyed query: RUN, ANSWER, DEFER or KILL, by its name."""
+    """The answer history's word on a query: RUN, ANSWER, DEFER, KILL or PASS, by its name; or how one ended
+    that was passed on, by the first of those but RUN and PASS."""
 
     id: str
     number: int
@@ -128,7 +130,7 @@
 
 
 class Claim(NamedTuple):
-    """The answer history is asked whether a keyed query may run; Judged comes within `left`."""
+    """The answer history is asked whether a keyed or mutating query may run; Judged comes within `left`."""
 
     id: str
     number: int
@@ -137,6 +139,7 @@
     token: str
     left: Time
     ordered: bool
+    once: bool = False  # it has no token: it is listed only while it is out
 
 
 class Close(NamedTuple):
@@ -148,6 +151,23 @@
     rows: words.Rows | None
 
 
+class PassOn(NamedTuple):
+    """A query for another partner's routers; Judged comes within `left`."""
+
+    id: str
+    number: int
+    owner: str
+    request: Request
+    left: Time
+
+
+class Recall(NamedTuple):
+    """Nobody waits any more for a query that was passed on."""
+
+    id: str
+    number: int
+
+
 class Alarm(NamedTuple):
     at: Time
 
@@ -157,4 +177,7 @@
     fields: dict[str, object]
 
 
-Effect = Finish | Stream | Cut | Defer | Kill | Send | Connect | HangUp | Claim | Close | Alarm | Note
+Effect = (
+    Finish | Stream | Cut | Defer | Kill | Send | Connect | HangUp | Claim | Close | PassOn | Recall
+    | Alarm | Note
+)  # fmt: skip
--- /dev/null
+++ b/hillchute/router/partnering.py
@@ -0,0 +1,290 @@
+"""A router's part among partners: puts council, passing, the marks' file and the peers' node together from
+the operator file's `partners`.
+
+Owns that wiring, the way between the reducer's queries and what is passed on, what partners bring by the list
+of engines, and what is logged of it. Must never decide; imported only where the operator file has `partners`.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+
+import msgspec
+
+from hillchute.accord.quotas import LENT, Quotas
+from hillchute.decision.interface import Listing, Time
+from hillchute.engines.words import Rows, Stream
+from hillchute.errors import MarksNotKept, PartnerBroke, TextNotTaken
+from hillchute.fronts.events import Asked, Left, Spoilt
+from hillchute.history.keeper import Keeper
+from hillchute.history.policy import MS
+from hillchute.history.views import DRIFT, LEASE
+from hillchute.log import Log
+from hillchute.partners.agreement import Marker, Offer
+from hillchute.partners.codec import Have, Know, Pass, decode, encode
+from hillchute.partners.council import Council
+from hillchute.partners.kept import MarksFile
+from hillchute.partners.marks import checker, signer
+from hillchute.partners.passing import Passing
+from hillchute.partners.pool import floor, homes
+from hillchute.peers.node import PARTNERS, Node
+from hillchute.peers.parts import Joiner
+from hillchute.peers.roster import DEAD
+from hillchute.router.reducer import place
+from hillchute.statements.request import Request
+
+LOGGED: Time = 50_000  # between two lines on the partners
+GROWS_AFTER: Time = int(LEASE * (1 + 2 * DRIFT)) + LENT  # by then all that have less by a new text use less
+VERDICTS = {"finished": "ANSWER", "deferred": "DEFER", "killed": "KILL"}
+
+rows_in, rows_out = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Rows)
+
+
+class Partnering:
+    def __init__(
+        self,
+        settings: Mapping[str, object],
+        node: Node,
+        catalog: Mapping[str, object],
+        seed: int,
+        clock: Callable[[], Time],
+        log: Log,
+        judged: Callable[[str, int, str, str, Rows | None], None],
+        handle: Callable[[object], None],
+        soon: Callable[[], None],
+        unix: Callable[[], Time],
+    ) -> None:
+        """`judged` is told how queries ended that were passed on; `handle` is given events of those that came
+        so; `soon` is told when there is something to be sent; `unix` is the reducer's clock."""
+        self.node, self.clock, self.log, self.catalog = node, clock, log, catalog
+        self.judged, self.handle, self.soon, self.unix = judged, handle, soon, unix
+        self.joiner, self.settings = Joiner(), settings
+        self.file: MarksFile | None = None
+        now = clock()
+        about = settings["own"], routers_of(settings), checks_of(settings), seed, now
+        self.council = Council(node.me, *about, self.hand())
+        self.passing = Passing(node.me, node.born, node.lives, self.over)
+        self.errands: dict[tuple[str, int], int] = {}  # the passing's, of each of the reducer's
+        self.queries: dict[int, tuple[str, int]] = {}
+        self.views: Keeper | None = None  # whose views say which text holds
+        self.logged = now
+        self.told: set[tuple[str, str]] = set()  # faults that stand, and are in the log
+        self.say_offer()
+        node.riders[PARTNERS] = self
+
+    def hand(self) -> Marker | None:
+        """What marks for the own partner, on the one router that does."""
+        if "secret" not in self.settings:
+            return None
+        try:
+            self.file = MarksFile(self.settings["marks_file"])
+        except MarksNotKept as fault:
+            self.log.write("partners", **fault.told)
+            return None
+        return Marker(self.settings["own"], signer(self.settings["secret"]), self.file.save, self.file.marked)
+
+    def say_offer(self) -> None:
+        if self.council.marker is None:
+            return
+        said = dict(self.settings["offer"])
+        for name in ("begins", "ends", "grace", "notice"):
+            said[name] = said.pop(f"{name}_ms") * MS
+        try:
+            self.council.offer(self.clock(), Offer(partner=self.settings["own"], **said))
+        except TextNotTaken as fault:
+            self.log.write("partners", **fault.told)
+        if self.settings["leave"]:
+            self.council.leave(self.clock())
+
+    def over(self, name: str, life: int) -> bool:
+        peer, window = self.node.roster.peers.get(name), self.node.windows.get(name)
+        if peer is None or peer.state == DEAD:
+            return True
+        return window is not None and life != 0 and window.born > life
+
+    # ---- the reducer's queries ----------------------------------------------------------------------
+
+    def pass_on(self, id: str, number: int, owner: str, request: Request, left: Time) -> None:
+        customer, key, _ = place(request)
+        to = self.passing.choose(self.council.routers.get(owner, ()), customer, key)
+        if to is None:
+            self.judged(id, number, "DEFER", "no router of its slot's owner is known to live", None)
+            return
+        about = (request.id, request.group, request.statement, request.token, request.cost, request.memory)
+        message = Pass(0, 0, 0, *about, request.key, request.customer, left)
+        now = self.clock()
+        mine = self.passing.send(now, to, message, now + left)
+        self.errands[id, number], self.queries[mine] = mine, (id, number)
+        self.soon()
+
+    def recall(self, id: str, number: int) -> None:
+        mine = self.errands.pop((id, number), None)
+        if mine is not None:
+            self.queries.pop(mine, None)
+            self.passing.recall(mine)
+            self.soon()
+
+    def on(self) -> None:
+        """What has come of messages and time goes to the reducer."""
+        ended, self.passing.ended = self.passing.ended, []
+        came, self.passing.came = self.passing.came, []
+        left, self.passing.left = self.passing.left, []
+        for mine, how, why, rows in ended:
+            query = self.queries.pop(mine, None)
+            if query is None:
+                continue
+            del self.errands[query]
+            try:
+                answer = None if rows is None else rows_out.decode(rows)
+            except msgspec.DecodeError:
+                how, why, answer = "killed", "its rows can't be read", None
+            if how == "finished" and answer is None:
+                how, why = "killed", "it has finished; its rows did not come"
+            self.judged(*query, VERDICTS[how], f"passed on: {why}", answer)
+        for session, message in came:
+            about = message.id, message.group, message.left, message.statement, message.token
+            request = Request(*about, message.cost, message.memory, message.key, message.customer)
+            self.handle(Asked(session, request, self.unix()))
+        for session in left:
+            self.handle(Left(session))
+        if self.passing.out or self.council.out:
+            self.soon()
+
+    # ---- the front of queries that came so ------------------------------------------------------------
+
+    def finish(self, session: int, rows: Rows) -> None:
+        self.answer(session, "finished", "", rows_in.encode(rows))
+
+    def defer(self, session: int, after: Time) -> None:
+        self.answer(session, "deferred", "its owner's router turned it away")
+
+    def kill(self, session: int, why: str) -> None:
+        self.answer(session, "killed", why)
+
+    def cut(self, session: int, why: str) -> None:
+        self.answer(session, "killed", why)
+
+    def begin(self, session: int, stream: Stream) -> None:
+        """Results that come as streams are not passed on: keyed and mutating queries have short ones."""
+        stream.close()
+        self.handle(Spoilt(session, "a result that comes as a stream can't be passed on"))
+
+    def answer(self, session: int, how: str, why: str, rows: bytes | None = None) -> None:
+        self.passing.answered(self.clock(), session, how, why, rows)
+        self.soon()
+
+    # ---- a rider of the node --------------------------------------------------------------------------
+
+    def heard(self, now: Time, sender: str, piece: bytes) -> None:
+        whole = self.joiner.take(now, sender, piece)
+        if whole is None:
+            return
+        message = decode(whole, sender)
+        if isinstance(message, Have | Know):
+            self.council.heard(now, sender, message)
+        else:
+            self.passing.receive(now, sender, message)
+        self.on()
+
+    def tick(self, now: Time) -> None:
+        self.council.tick(now, self.node.living())
+        self.passing.tick(now)
+        self.on()
+        if now - self.logged >= LOGGED:
+            self.logged = now
+            self.tell(now)
+
+    def out(self) -> list[tuple[str, bytes]]:
+        some = [*self.passing.out, *self.council.out]
+        self.passing.out, self.council.out = [], []
+        said = []
+        for to, message in some:
+            try:
+                said.append((to, encode(message)))
+            except ValueError as fault:
+                self.node.dropped[f"partners not sent: {fault}"] += 1
+        return said
+
+    # ---- what partners bring ----------------------------------------------------------------------------
+
+    def listed(self, listings: Iterable[Listing]) -> None:
+        """Engines as they are listed; an engine is the first partner's whose zones and kinds it fits."""
+        zones, kinds = (listed(self.catalog.get(name)) for name in ("dcs", "kinds"))
+        cores = listed(self.catalog.get("domain.kind_cores"))
+        brings = {member["name"]: 0 for member in self.settings["members"]}
+        for entry in listings:
+            whose = next((m for m in self.settings["members"] if fits(m, entry, zones, kinds)), None)
+            if whose is not None and entry.state == "Ready" and entry.kind < len(cores):
+                brings[whose["name"]] += cores[entry.kind]
+        self.council.brings(self.clock(), brings)
+
+    def pool(self, quotas: Quotas) -> None:
+        """This router's part of the pool, as the text that holds gives it. Where it is not known to hold, for
+        want of a view or of the text that others go by, the router keeps to the floor."""
+        now, council = self.clock(), self.council
+        routers = council.routers
+        whole = quotas.limits["pool"].whole
+        home = homes(whole, council.counted(now), routers).get(self.node.me, 0)
+        least = floor(whole, max(1, sum(map(len, routers.values()))))
+        known = self.views is not None and self.views.views.in_force(now)
+        confined = not (known and council.current() and council.holds(now))
+        ours = routers.get(council.partner, frozenset())
+        quotas.told(now, "pool", home, least, ours, GROWS_AFTER, confined)
+
+    # ---- log, reload ------------------------------------------------------------------------------------
+
+    def tell(self, now: Time) -> None:
+        council = self.council
+        text = council.text()
+        self.log.write(
+            "partners_count",
+            text=council.number,
+            named=council.named_last,
+            known=max(council.ledger.accepted, default=0),
+            holds=council.holds(now),
+            shares=council.counted(now),
+            gone=sorted(council.ledger.gone(text, now)) if text is not None else [],
+            out=len(self.passing.errands),
+            **dict(self.passing.counts),
+            **dict(council.counts),
+        )
+        faults = list(council.refused.values())
+        faults += [PartnerBroke(f"texts of number {pair[0].number}", n) for n, pair in self.broke()]
+        if self.file is not None and self.file.fault is not None:
+            faults.append(self.file.fault)
+        standing = {(type(fault).__name__, str(fault)) for fault in faults}
+        for fault in faults:
+            if (type(fault).__name__, str(fault)) not in self.told:
+                self.log.write("partners", **fault.told)
+        self.told = standing
+
+    def broke(self) -> list[tuple[str, tuple]]:
+        return sorted(self.council.ledger.two_texts.items())
+
+    def renew(self, settings: Mapping[str, object]) -> list[str]:
+        """The operator file's partners read again; the paths of what needs a restart."""
+        names = ("own", "key_file", "marks_file")
+        restart = [f"partners.{n}" for n in names if settings.get(n) != self.settings.get(n)]
+        self.settings = settings if not restart else self.settings
+        if not restart:
+            self.council.named_anew(routers_of(settings), checks_of(settings))
+            self.say_offer()
+            self.soon()
+        return restart
+
+
+def routers_of(settings: Mapping[str, object]) -> dict[str, list[str]]:
+    return {member["name"]: member["routers"] for member in settings["members"]}
+
+
+def checks_of(settings: Mapping[str, object]):
+    return checker({member["name"]: bytes.fromhex(member["key"]) for member in settings["members"]})
+
+
+def listed(value: object) -> list:
+    return list(value) if isinstance(value, list | tuple) else [] if value is None else [value]
+
+
+def fits(member: Mapping[str, object], entry: Listing, zones: list, kinds: list) -> bool:
+    for names, wanted, number in ((zones, member["zones"], entry.zone), (kinds, member["kinds"], entry.kind)):
+        if wanted and not (number < len(names) and names[number] in wanted):
+            return False
+    return True
--- a/hillchute/router/peering.py
+++ b/hillchute/router/peering.py
@@ -32,9 +32,12 @@
         log: Log,
         moved: Callable[[], None],
         judged: Callable[..., None] = lambda *about: None,
+        handle: Callable[[object], None] = lambda event: None,
+        unix: Callable[[], int] = lambda: 0,
     ) -> None:
         """`moved` is told when there is news for the module; it takes them by `news` and `telling.stand`.
-        `judged` is told the answer history's verdicts, if the operator file has one."""
+        `judged` is told the answer history's verdicts, if the operator file has one; `handle` is given
+        queries that other partners' routers passed on, with the time by `unix`."""
         settings = operator["peers"]
         self.log, self.moved, self.clock = log, moved, Steady()
         now, me = self.clock(), settings["name"]
@@ -45,6 +48,7 @@
         columns = catalog.get("report.columns", ())
         columns = columns if isinstance(columns, list | tuple) else [columns]
         limits = (["cold"] if catalog.get("guarantees.cold") else []) + rated
+        limits += ["pool"] if operator.get("partners") else []
         self.company = Company(me, [me, *keys], columns, limits, station.seed, now)
         self.node = Node(me, now // 10, keys, station.seed, now, self.company)
         self.link = Link(
@@ -57,18 +61,27 @@
             fault=lambda trace: log.write("fault", what="peers", trace=trace),
         )
         self.telling = Telling(module, self.company, catalog, self.clock, self.node.living, self.link.soon)
-        self.remembering = None
+        self.remembering = self.partnering = None
+        if operator.get("partners"):
+            from hillchute.router.partnering import Partnering
+
+            about = (operator["partners"], self.node, catalog, station.seed, self.clock, log)
+            self.partnering = Partnering(*about, judged, handle, self.ride, unix)
+            self.telling.partnering = self.partnering
         if operator.get("history"):
             from hillchute.router.remembering import Remembering
 
-            about = (operator["history"], self.node, self.clock, log, judged, self.ride)
+            deeds = self.partnering and self.partnering.council
+            about = (operator["history"], self.node, self.clock, log, judged, self.ride, deeds)
             self.remembering = Remembering(*about)
+            if self.partnering is not None:
+                self.partnering.views = self.remembering.keeper
         self.settings = settings
         self.logged = now
         self.known: list[str] = []
 
     def ride(self) -> None:
-        """The history has something to say. Before the sockets are open it waits for the next look."""
+        """A rider has something to say. Before the sockets are open it waits for the next look."""
         if self.link.tasks is not None:
             self.link.ride()
 
@@ -133,6 +146,11 @@
             self.remembering.renew(history)
         elif bool(history) != (self.remembering is not None):
             restart.append("history")
+        partners = operator.get("partners")
+        if bool(partners) != (self.partnering is not None):
+            restart.append("partners")
+        elif partners and not restart:
+            restart += self.partnering.renew(partners)
         return restart
 
 
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -11,6 +11,7 @@
 from hillchute.decision import teamwork as endings
 from hillchute.decision.interface import Report, Router, Time
 from hillchute.engines import words
+from hillchute.fronts.events import FIRST_GUEST
 from hillchute.membership import event_bus
 from hillchute.router.desk import Desk
 from hillchute.router.events import (
@@ -30,7 +31,9 @@
     Lost,
     NotConnected,
     Passed,
+    PassOn,
     Peered,
+    Recall,
     Said,
     Send,
     Spoilt,
@@ -44,6 +47,7 @@
 
 COUNT_EVERY = 10_000  # tenths of a millisecond between two lines of the log that count the answers
 NEVER_RAN, MAY_STILL_RUN = frozenset(endings.NEVER_RAN), frozenset(endings.MAY_STILL_RUN)
+TABLES = "\0tables "  # before a table group, where a key would stand: no key of a client begins so
 AFTER_ALL: Time = 500  # 50 ms before a client's time is up a query gets an answer, whatever happens
 
 
@@ -56,6 +60,8 @@
         self.groups = {str(catalog.get(f"groups.{n}.name")): n for n in range(catalog.get("groups.count", 0))}
         self.open_cap = catalog.get("limits.open_cap", 0)
         self.tokened = {n for n in self.groups.values() if catalog.get(f"groups.{n}.effect") == "tokened"}
+        effects = {n: catalog.get(f"groups.{n}.effect", "mutating") for n in self.groups.values()}
+        self.mutating = {n for n, effect in effects.items() if effect == "mutating"}
         self.ordered = {n for n in self.groups.values() if catalog.get(f"groups.{n}.keep_order")}
         times = [catalog.get(f"groups.{n}.queue_timeout", 0) for n in self.groups.values()]
         self.longest: Time = max(times, default=0) or 10**9
@@ -64,6 +70,7 @@
             for value in (catalog.get("domain.kind_cores", 1), catalog.get("domain.ram_of_kind_mb") or 10**9)
         )
         self.history = False  # whether keyed queries wait for the answer history's word
+        self.partners = False  # whether mutating ones do, too: only a slot's owner leads them
         self.order_pause: Time = catalog.get("guarantees.order_pause", 0)
         self.end: Time | None = None
         self.queries: dict[str, Query] = {}
@@ -169,10 +176,13 @@
         self.desk.at(max(due, since + request.patience - AFTER_ALL), self.overdue, request.id, q.number)
         if self.history and group in self.tokened and request.token is not None:
             q.claim = "asked"
-            # Those without a key have no order: each is a key of its own.
-            key, ordered = request.key or request.token, group in self.ordered
-            about = (request.customer, key, request.token, max(0, due - now), ordered)
-            self.desk.ask(Claim(request.id, q.number, *about))
+            self.desk.ask(
+                Claim(request.id, q.number, *place(request), max(0, due - now), group in self.ordered)
+            )
+            return
+        if self.partners and group in self.mutating:
+            q.claim = "asked"
+            self.desk.ask(Claim(request.id, q.number, *place(request), max(0, due - now), False, once=True))
             return
         self.hand_on(q)
 
@@ -186,13 +196,20 @@
     def judged(self, id: str, number: int, verdict: str, why: str, rows: words.Rows | None) -> None:
         """The answer history's word on a query that waits for it."""
         q = self.named(id, number)
-        if q is None or q.answered or q.claim != "asked":
+        if q is None or q.answered or q.claim not in ("asked", "passed on"):
             return
+        if verdict == "PASS" and q.session >= FIRST_GUEST:
+            verdict, why = "DEFER", "its slot has another owner meanwhile"  # there is no second hop
         match verdict:
             case "RUN":
                 q.claim = "granted"
                 self.hand_on(q)
                 return
+            case "PASS":
+                q.claim = "passed on"
+                left = max(0, q.due - self.desk.now)
+                self.desk.ask(PassOn(q.request.id, q.number, why, q.request, left))
+                return
             case "ANSWER":
                 effect, how = Finish(q.session, rows), "finished"
             case "KILL":
@@ -237,6 +254,9 @@
             if q.claim == "asked":
                 self.answer(q, Defer(q.session, 0), "deferred", "history: no verdict in time")
                 return
+            if q.claim == "passed on":
+                self.answer(q, Kill(q.session, "no answer in time"), "killed", "passed on: no answer in time")
+                return
             self.desk.note("fault", what="unanswered at its end", query=q.request.id)
             self.module.left(self.desk.now, q.request.id)
             self.answer(q, Kill(q.session, "no answer in time"), "unanswered")
@@ -303,6 +323,10 @@
         """The answer history hears how a query that it was asked for ended."""
         if not q.claim:
             return
+        if q.claim == "passed on":
+            q.claim = ""
+            self.desk.ask(Recall(q.request.id, q.number))
+            return
         q.claim, results = "", {leg.result for leg in q.legs}
         how = "freed" if results <= NEVER_RAN else "finished" if "finished" in results else "killed"
         close = Close(q.request.id, q.number, how, q.rows)
@@ -479,3 +503,11 @@
             if leg.stream is not None:
                 leg.stream.close()
         self.answer(q, Cut(q.session, "the time for the result is up"), "cut")
+
+
+def place(request: Request) -> tuple[str, str, str]:
+    """Customer, key and token as the history has them. A keyed query without a key has no order: it is a key
+    of its own. A mutating one is listed by its table group, whoever sent it, and its id tells it apart."""
+    if request.token is None:
+        return "", f"{TABLES}{request.tables}", request.id
+    return request.customer, request.key or request.token, request.token
--- a/hillchute/router/remembering.py
+++ b/hillchute/router/remembering.py
@@ -18,9 +18,10 @@
 from hillchute.history.keeper import Keeper
 from hillchute.history.policy import MS, Book, Forget, Policy
 from hillchute.history.records import FINISHED, FREED, KILLED
+from hillchute.history.titles import Deeds
 from hillchute.history.verdict import Verdict
 from hillchute.log import Log
-from hillchute.peers.node import Node
+from hillchute.peers.node import HISTORY, Node
 from hillchute.peers.parts import Joiner
 
 LOGGED: Time = 50_000  # between two lines on the history
@@ -38,9 +39,10 @@
         log: Log,
         judged: Callable[[str, int, str, str, Rows | None], None],
         soon: Callable[[], None],
+        deeds: Deeds | None = None,
     ) -> None:
         """`judged` is told each verdict: the query's id and number, and what the verdict says. `soon` is told
-        when there is something to be sent."""
+        when there is something to be sent. `deeds`: where there are partners."""
         self.node, self.clock, self.log, self.judged, self.soon = node, clock, log, judged, soon
         now = clock()
         self.joiner = Joiner()
@@ -51,22 +53,30 @@
             except DiskNotUsable as fault:  # the history goes on in memory: no record rests on this disk
                 log.write("history_disk", **fault.told)
         self.keeper = Keeper(
-            node.me, node.born, [node.me, *node.keys], book_of(settings), now, node.lives, self.disk
+            node.me, node.born, [node.me, *node.keys], book_of(settings), now, node.lives, self.disk, deeds
         )
         if self.disk is not None:
             self.keeper.recall(now, self.disk.read())
         self.numbers: dict[tuple[str, int], int] = {}  # the keeper's, of each of the reducer's
         self.queries: dict[int, tuple[str, int]] = {}
         self.logged = now
-        node.rider = self
+        node.riders[HISTORY] = self
 
     # ---- the reducer's queries ----------------------------------------------------------------------
 
     def claim(
-        self, id: str, number: int, customer: str, key: str, token: str, left: Time, ordered: bool
+        self,
+        id: str,
+        number: int,
+        customer: str,
+        key: str,
+        token: str,
+        left: Time,
+        ordered: bool,
+        once: bool = False,
     ) -> None:
         now = self.clock()
-        mine = self.keeper.claim(now, customer, key, token, now + left, ordered)
+        mine = self.keeper.claim(now, customer, key, token, now + left, ordered, once)
         self.numbers[id, number], self.queries[mine] = mine, (id, number)
         self.pass_on()
 
@@ -94,7 +104,7 @@
         if self.keeper.out:
             self.soon()
 
-    # ---- the node's rider ---------------------------------------------------------------------------
+    # ---- a rider of the node ---------------------------------------------------------------------------
 
     def heard(self, now: Time, sender: str, piece: bytes) -> None:
         whole = self.joiner.take(now, sender, piece)
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -24,7 +24,7 @@
 from hillchute.engines import words
 from hillchute.engines.line.links import Link, Links
 from hillchute.errors import BadConfiguration, HillchuteError
-from hillchute.fronts.events import FIRST_CALL
+from hillchute.fronts.events import FIRST_CALL, FIRST_GUEST
 from hillchute.fronts.mysql.door import Client, Door
 from hillchute.log import Log
 from hillchute.membership.follower import Follower
@@ -77,12 +77,14 @@
         if operator.get("peers"):
             from hillchute.router.peering import Peering
 
-            self.peering = Peering(operator, station, module, log, self.peered, self.judged)
+            about = (operator, station, module, log, self.peered, self.judged, self.handle, clock)
+            self.peering = Peering(*about)
             module = self.peering.telling
         self.reducer = Reducer(module, station.catalog, station.sockets // 3)
         if self.peering is not None:
             self.peering.telling.reached = lambda: self.reducer.lines.told_to
             self.reducer.history = self.peering.remembering is not None
+            self.reducer.partners = self.peering.partnering is not None
         self.door = Door(
             station.sockets // 2,
             station.packet,
@@ -134,7 +136,10 @@
         return Server(settings, self.reducer.groups, self.log, self.clock, self.handle)
 
     def front(self, session: int):
-        """Who has the client of a session: calls of the Flight front have their numbers above all others."""
+        """Who has the client of a session: calls of the Flight front have their numbers above those of MySQL,
+        and queries that other routers passed on above both."""
+        if session >= FIRST_GUEST:
+            return self.peering.partnering
         return self.door if self.flight is None or session < FIRST_CALL else self.flight
 
     # ---- events in, effects out -------------------------------------------------------------------
@@ -168,7 +173,9 @@
             case events.Finish(session, rows):
                 self.front(session).finish(session, rows)
             case events.Stream(session, stream):
-                if session < FIRST_CALL:
+                if session >= FIRST_GUEST:
+                    self.peering.partnering.begin(session, stream)
+                elif session < FIRST_CALL:
                     self.tasks.start_soon(self.pass_on, session, stream)
                 else:
                     self.flight.begin(session, stream)
@@ -186,6 +193,10 @@
                 self.peering.remembering.claim(*effect)
             case events.Close():
                 self.peering.remembering.close(*effect)
+            case events.PassOn():
+                self.peering.partnering.pass_on(*effect)
+            case events.Recall():
+                self.peering.partnering.recall(*effect)
             case events.Alarm(at):
                 self.alarm = at
                 if self.rings is None or at < self.rings:  # a later one is found when it wakes
--- a/hillchute/router/telling.py
+++ b/hillchute/router/telling.py
@@ -9,7 +9,7 @@
 
 from hillchute.accord.company import WHOLE, Company
 from hillchute.decision.interface import Decision, EngineId, Listing, QueryId, Report, Time
-from hillchute.decision.state import Engine
+from hillchute.decision.state import Engine, Light
 from hillchute.decision.teamwork import COLD_SHARE, SECOND, TRAFFIC_SPAN, Teamwork
 
 
@@ -34,6 +34,8 @@
         self.closed: frozenset[EngineId] = frozenset()
         self.reached: Callable[[], int] = lambda: 0  # the event that the list has reached
         self.until: Time = 0
+        self.partnering = None  # where there are partners
+        self.work = Light(1 << 62, 0)  # of late, all of it: what this router wants of the pool
         self.asking: dict[QueryId, int] = {}  # the resource group of each query that is not answered
 
     def __getattr__(self, name: str) -> object:
@@ -52,12 +54,16 @@
         """The list has changed: sights and circles follow from the names of the peers, not from settings."""
         ready = {e for e, entry in self.listings.items() if entry.state == "Ready"}
         self.company.listed(self.clock(), self.reached(), ready, self.listings.keys() - ready)
+        if self.partnering is not None:
+            self.partnering.listed(self.listings.values())
         self.stand(now)
 
     def take(self, now: Time, query: QueryId, group: int, *about: object) -> None:
         self.company.counted(group, False)
         self.asking[query] = group
         self.module.take(now, query, group, *about)
+        if self.partnering is not None and query in self.module.queries:
+            self.work.add(now, self.module.queries[query].work, TRAFFIC_SPAN)
 
     def left(self, now: Time, query: QueryId) -> None:
         self.asking.pop(query, None)
@@ -124,7 +130,7 @@
         tips = {e.id: self.multiple * self.span * e.able(now) for e in self.warming(now)}
         standing = self.company.standing(self.clock(), self.living(), tips, self.span)
         self.until = standing.until
-        self.module.nearby(now, standing.near, standing.routers, standing.parts)
+        self.module.nearby(now, standing.near, standing.routers, {**standing.parts, **self.pool()})
         engines, listings = self.module.engines, self.listings
         shut = [e for e in standing.closed if e in listings and e in engines and engines[e].ready]
         changed = [listings[e]._replace(state="Terminating") for e in shut]
@@ -133,12 +139,23 @@
         if changed:
             self.module.roster(now, "Partial", changed)
 
+    def pool(self) -> dict[str, float]:
+        """With partners: how many routers of this one's size the pool would have, by its part of it."""
+        if self.partnering is None:
+            return {}
+        return {"pool": 1 / max(1 / WHOLE, self.company.quotas.part("pool", self.clock()))}
+
     def warming(self, now: Time) -> list[Engine]:
         return [e for e in self.module.engines.values() if e.ready and e.cold(now)]
 
     def wants(self, now: Time) -> None:
         """What this router's traffic would use of each shared limit now."""
         module, quotas = self.module, self.company.quotas
+        if self.partnering is not None:
+            self.partnering.pool(quotas)
+            cores = sum(e.able(now) for e in module.engines.values() if e.ready)
+            rate = self.work.work / max(1, min(TRAFFIC_SPAN, now - self.work.began))
+            quotas.asked("pool", int(WHOLE * min(1.0, rate / cores)) if cores else 0)
         if "cold" in quotas.limits:
             able = sum(e.able(now) for e in self.warming(now))
             rate = module.light.work / max(1, min(TRAFFIC_SPAN, now - module.light.began))
--- /dev/null
+++ b/tests/test_partnering.py
@@ -0,0 +1,329 @@
+"""Partners on routers that run: the reducer's side, the operator file, shares of the pool, the wiring."""
+
+import pytest
+from conftest import CATALOG
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hillchute.accord.quotas import LENT, Quotas
+from hillchute.decision.interface import Listing
+from hillchute.decision.teamwork import SECOND, Teamwork
+from hillchute.fronts.events import FIRST_GUEST
+from hillchute.lab.history_net import EPOCH
+from hillchute.lab.partners_net import private, public
+from hillchute.operator import reading
+from hillchute.operator.records import BadRecord
+from hillchute.partners.pool import floor, homes
+from hillchute.peers.node import Node
+from hillchute.router import events
+from hillchute.router.partnering import GROWS_AFTER, Partnering
+from hillchute.router.reducer import Reducer, place
+from hillchute.statements.request import Request
+
+NAMES = {f"groups.{n}.name": name for n, name in enumerate(("lookup", "report", "load", "write"))}
+
+
+class Rig:
+    """A reducer among partners."""
+
+    def __init__(self):
+        catalog = CATALOG | NAMES | {"limits.open_cap": 100}
+        self.module = Teamwork(7, catalog, 0)
+        self.reducer = Reducer(self.module, catalog, 8)
+        self.reducer.history = self.reducer.partners = True
+        self.count = 0
+
+    def ask(self, group, token=None, session=None, now=0):
+        self.count += 1
+        id = f"{self.count:016x}"
+        key = "cd" if token else None
+        request = Request(id, group, 5 * SECOND, b"UPDATE x_3.t SET a = 1", token, 1000, 1.0, key, "a")
+        session = self.count if session is None else session
+        return id, self.reducer.reduce(events.Asked(session, request, now), now)
+
+    def judged(self, id, verdict, why="why", rows=None, now=10):
+        number = self.reducer.queries[id].number
+        return self.reducer.reduce(events.Judged(id, number, verdict, why, rows), now)
+
+
+def of(effects, *kinds):
+    return [e for e in effects if isinstance(e, kinds)]
+
+
+def test_mutating_query_asks_for_its_table_group_and_a_read_only_one_asks_nobody():
+    rig = Rig()
+    id, said = rig.ask("write")
+    (claim,) = of(said, events.Claim)
+    assert claim.once and not claim.ordered and (claim.customer, claim.token) == ("", id)
+    assert claim.key == "\0tables 3" and id not in rig.module.queries
+    rig.judged(id, "RUN")
+    assert id in rig.module.queries
+    id, said = rig.ask("lookup")
+    assert not of(said, events.Claim) and id in rig.module.queries
+    rig.reducer.partners = False
+    id, said = rig.ask("write")
+    assert not of(said, events.Claim) and id in rig.module.queries
+
+
+def test_query_of_anothers_slot_is_passed_on_and_its_answer_is_the_answer():
+    rig = Rig()
+    id, _ = rig.ask("load", "ab")
+    (passed,) = of(rig.judged(id, "PASS", "b"), events.PassOn)
+    assert (passed.id, passed.owner, passed.request.token) == (id, "b", "ab")
+    assert 0 < passed.left <= 5 * SECOND and id not in rig.module.queries
+    said = rig.judged(id, "ANSWER", "", [[b"1"], [b"2"], [b"3"]])
+    assert [(e.session, e.rows) for e in of(said, events.Finish)] == [(1, [[b"1"], [b"2"], [b"3"]])]
+    assert not of(said, events.Recall, events.Close) and id not in rig.reducer.queries
+
+
+@pytest.mark.parametrize(("verdict", "effect"), [("DEFER", events.Defer), ("KILL", events.Kill)])
+def test_query_that_was_passed_on_ends_once_as_it_ended_there(verdict, effect):
+    rig = Rig()
+    id, _ = rig.ask("write")
+    rig.judged(id, "PASS", "b")
+    assert len(of(rig.judged(id, verdict), effect)) == 1 and id not in rig.reducer.queries
+
+
+def test_there_is_no_second_hop():
+    rig = Rig()
+    id, _ = rig.ask("load", "ab", session=FIRST_GUEST + 1)
+    said = rig.judged(id, "PASS", "c")
+    assert not of(said, events.PassOn) and len(of(said, events.Defer)) == 1
+
+
+def test_query_that_was_passed_on_has_failed_when_no_answer_comes_in_time():
+    rig = Rig()
+    id, _ = rig.ask("load", "ab")
+    rig.judged(id, "PASS", "b")
+    said = rig.reducer.reduce(events.Tick(), 5 * SECOND)
+    assert len(of(said, events.Kill)) == 1 and not of(said, events.Defer)  # it may have run
+    assert [(e.id, e.number) for e in of(said, events.Recall)] == [(id, 1)] or of(said, events.Recall)
+
+
+def test_client_that_leaves_takes_back_what_was_passed_on():
+    rig = Rig()
+    id, _ = rig.ask("load", "ab")
+    rig.judged(id, "PASS", "b")
+    said = rig.reducer.reduce(events.Left(rig.count), 10)
+    assert [e.id for e in of(said, events.Recall)] == [id] and not of(said, events.Close)
+    assert not of(rig.reducer.reduce(events.Judged(id, 1, "ANSWER", "", []), 20), events.Finish)
+
+
+def test_place_in_the_history_is_the_keys_or_the_table_groups():
+    about = "id", "g", 1, b"UPDATE x_7.t SET a = 1"
+    assert place(Request(*about, token="ab", key="cd", customer="a")) == ("a", "cd", "ab")
+    assert place(Request(*about, token="ab", customer="a")) == ("a", "ab", "ab")
+    assert place(Request(*about, customer="a")) == ("", "\0tables 7", "id")
+
+
+# ---- the operator file ----
+
+KEYS = {name: public(name).hex() for name in "ab"}
+MEMBERS = f"""members: [{{name: "a", key: "{KEYS["a"]}", routers: ["r0"], zones: ["north"]}},
+  {{name: "b", key: "{KEYS["b"]}", routers: ["r1"], kinds: ["large"]}}]"""
+PEERS = """peers: {name: "r0", listen: "127.0.0.1:1",
+  others: [{name: "r1", address: "127.0.0.1:2", key: "0123456789abcdef"}]}"""
+HISTORY = "history: {number: 1, default: {}}"
+ALONE = f'members: [{{name: "a", key: "{KEYS["a"]}", routers: ["r0"]}}]'
+QUOTED_A, QUOTED_B = '"a"', '"b"'
+OFFER = "offer: {turn: 1, capacity: 8, want: 5000, least: 1000, most: 9000, begins_ms: 0, ends_ms: 9}"
+
+LOW = OFFER.replace("5000", "500")
+
+
+def text(partners, peers=PEERS, history=HISTORY):
+    return f"{peers}\n{history}\npartners: {{{partners}}}"
+
+
+@pytest.mark.parametrize(
+    ("partners", "more", "said"),
+    [
+        (f'own: "a", {MEMBERS}', {"history": ""}, "expected `history`"),
+        (f'own: "b", {MEMBERS}', {}, "partners.own: router r0 is a's"),
+        (
+            f'own: "a", members: [{{name: "a", key: "{KEYS["a"]}", routers: ["r0"]}}]',
+            {},
+            "router r1 of `peers`",
+        ),
+        (f'own: "a", {MEMBERS.replace("r1", "r0")}', {}, "members[1].routers: r0 is a's"),
+        (
+            f'own: "a", {MEMBERS.replace(chr(34) + "b" + chr(34), chr(34) + "a" + chr(34))}',
+            {},
+            "stands twice",
+        ),
+        (f'own: "a", {OFFER}, {MEMBERS}', {}, "offer, key_file and marks_file together"),
+        (f'own: "a", {MEMBERS.replace(KEYS["a"], "xyz")}', {}, "key"),
+        (
+            f'own: "a", {OFFER.replace("5000", "500")}, key_file: "k", marks_file: "m", {MEMBERS}',
+            {},
+            "least <= want",
+        ),
+        (f'own: "a", {OFFER}, key_file: "none", marks_file: "m", {MEMBERS}', {}, "partners.key_file: none"),
+    ],
+)
+def test_faulty_partners_are_named_by_their_path(partners, more, said):
+    with pytest.raises(BadRecord) as fault:
+        reading.hold(text(partners, **more), "o.cue")
+    assert said in str(fault.value) and "o.cue" in str(fault.value)
+
+
+def test_key_that_is_none_is_said(tmp_path):
+    (tmp_path / "k").write_text("00ff")
+    own = f'own: "a", {OFFER}, key_file: "{tmp_path / "k"}", marks_file: "m", {MEMBERS}'
+    with pytest.raises(BadRecord, match="64 hex digits"):
+        reading.hold(text(own))
+
+
+class Log:
+    def __init__(self):
+        self.lines = []
+
+    def write(self, event, **fields):
+        self.lines.append((event, fields))
+
+
+def partnering(tmp_path, marks=True, **changed):
+    (tmp_path / "k").write_text(private("a").hex())
+    own = f'own: "a", {MEMBERS}'
+    if marks:
+        own += f', {OFFER}, key_file: "{tmp_path / "k"}", marks_file: "{tmp_path / "m"}"'
+    stated = reading.hold(text(own))["partners"] | changed
+    node = Node("r0", EPOCH // 10, {"r1": b"0123456789abcdef"}, 1, EPOCH, None)
+    log, none = Log(), lambda *about: None
+    catalog = {"dcs": ["south", "north"], "kinds": ["std", "large"], "domain.kind_cores": [8, 32]}
+    return (
+        Partnering(stated, node, catalog, 1, lambda: EPOCH, log, none, none, none, lambda: EPOCH),
+        log,
+        stated,
+    )
+
+
+def test_offer_of_the_operator_file_is_known_and_a_lower_turn_is_said(tmp_path):
+    held, log, stated = partnering(tmp_path)
+    (offer, _) = held.council.ledger.offers["a"]
+    assert (offer.partner, offer.want, offer.ends) == ("a", 5000, 90)
+    held.renew(stated | {"offer": stated["offer"] | {"turn": 3, "want": 6000}})
+    assert held.council.ledger.offers["a"][0].want == 6000
+    held.renew(stated | {"offer": stated["offer"] | {"turn": 2}})
+    assert [fields["error"] for event, fields in log.lines if "error" in fields] == ["TextNotTaken"]
+    assert held.renew(stated | {"own": "b"}) == ["partners.own"]
+
+
+def test_router_without_the_key_marks_nothing_and_a_bad_file_of_marks_is_said(tmp_path):
+    held, _, _ = partnering(tmp_path, marks=False)
+    assert held.council.marker is None and not held.council.ledger.offers
+    (tmp_path / "m").write_text("what\n")
+    held, log, _ = partnering(tmp_path)
+    assert held.council.marker is None
+    assert [fields["error"] for _, fields in log.lines] == ["MarksNotKept"]
+
+
+def test_engine_is_the_partners_whose_zones_and_kinds_it_fits(tmp_path):
+    held, _, _ = partnering(tmp_path)
+    listings = [
+        Listing(1, 0, 0, 1, 0, "Ready", 1.0),  # north: a's
+        Listing(2, 1, 0, 0, 0, "Ready", 1.0),  # large: b's
+        Listing(3, 1, 0, 1, 0, "Ready", 1.0),  # both: the first's
+        Listing(4, 0, 0, 0, 0, "Ready", 1.0),  # neither's
+        Listing(5, 0, 0, 1, 0, "Terminating", 1.0),
+    ]
+    held.listed(listings)
+    assert held.council.capacities == {"a": 40, "b": 32}
+
+
+def test_nobody_of_the_owner_lives_so_the_query_is_deferred(tmp_path):
+    held, _, _ = partnering(tmp_path)
+    told = []
+    held.judged = lambda *about: told.append(about)
+    held.pass_on("id", 1, "b", Request("id", "g", 9, b"UPDATE x_7.t SET a = 1"), 50)
+    assert told == [("id", 1, "DEFER", "no router of its slot's owner is known to live", None)]
+
+
+# ---- shares of the pool ----
+
+ROUTERS = {"a": ["a0", "a1"], "b": ["b0", "b1"]}
+EVERYBODY = [name for some in ROUTERS.values() for name in some]
+WHOLE = 1_000_000
+
+
+class Pool:
+    def __init__(self, shares):
+        self.now, self.shares = 0, shares
+        self.quotas = {n: Quotas(n, EVERYBODY, {"pool": WHOLE}, 1, 0) for n in EVERYBODY}
+        self.confined = set()
+        self.told_of = dict.fromkeys(EVERYBODY, shares)
+        self.wants = dict.fromkeys(EVERYBODY, 0)
+        self.tell()
+
+    def tell(self):
+        for name, quotas in self.quotas.items():
+            home = homes(WHOLE, self.told_of[name], ROUTERS)[name]
+            ours, least = ROUTERS[name[0]], floor(WHOLE, len(EVERYBODY))
+            quotas.told(self.now, "pool", home, least, ours, GROWS_AFTER, name in self.confined)
+
+    def play(self, seconds):
+        for _ in range(int(seconds * 5)):
+            self.now += SECOND // 5
+            self.tell()
+            for name, quotas in self.quotas.items():
+                quotas.asked("pool", self.wants[name])
+                for other in self.quotas.values():
+                    if other is not quotas:
+                        other.heard(self.now, name, quotas.wants(self.now))
+            words = [(n, w) for n, q in self.quotas.items() for w in q.tick(self.now, EVERYBODY)]
+            for name, word in words:
+                for back in self.quotas[word.to].asks(self.now, name, word.limit, word.what):
+                    self.quotas[name].granted(self.now, word.to, back.limit, back.what)
+            assert sum(self.used(name) for name in EVERYBODY) <= WHOLE
+
+    def used(self, name):
+        return self.quotas[name].usable("pool", self.now)
+
+    def of(self, partner):
+        return sum(self.used(name) for name in ROUTERS[partner])
+
+
+def test_each_has_its_share_while_all_want_theirs_and_borrows_what_others_do_not_want():
+    pool = Pool({"a": 7000, "b": 3000})
+    pool.wants = dict.fromkeys(EVERYBODY, WHOLE)
+    pool.play(20)
+    assert abs(pool.of("a") / WHOLE - 0.7) < 0.02 and abs(pool.of("b") / WHOLE - 0.3) < 0.02
+    pool.wants |= {"a0": 100_000, "a1": 100_000}
+    pool.play(20)
+    lent = pool.of("b")
+    assert lent > 0.5 * WHOLE and pool.used("a0") >= 100_000
+    pool.wants |= {"a0": WHOLE, "a1": WHOLE}
+    pool.play(1 + LENT / SECOND + 1)  # what was lent is back within a loan's time and an ask's
+    assert pool.of("a") / WHOLE > 0.68
+
+
+def test_new_shares_never_add_up_to_more_though_routers_hear_of_them_one_after_another():
+    pool = Pool({"a": 8000, "b": 2000})
+    pool.wants = dict.fromkeys(EVERYBODY, WHOLE)
+    pool.play(15)
+    new = {"a": 1000, "b": 9000}
+    pool.told_of |= {"b0": new, "a0": new}
+    pool.play(4)  # a lease: by then who has not heard of it is confined
+    pool.confined = {"a1"}
+    pool.play(10)
+    pool.told_of, pool.confined = dict.fromkeys(EVERYBODY, new), set()
+    pool.play(15)
+    assert pool.of("b") / WHOLE > 0.85
+
+
+@settings(max_examples=25, deadline=None)
+@given(st.lists(st.tuples(st.sampled_from(EVERYBODY), st.integers(0, WHOLE)), max_size=12), st.integers(0, 9))
+def test_whatever_is_wanted_parts_add_up_to_no_more_than_the_whole(wants, share):
+    pool = Pool({"a": share * 1000, "b": 10_000 - share * 1000})
+    for name, units in wants:
+        pool.wants[name] = units
+        pool.play(2)
+    pool.play(10)
+
+
+def test_greedy_partner_gets_nothing_that_others_want():
+    """It asks for all and says that it has nothing."""
+    pool = Pool({"a": 5000, "b": 5000})
+    pool.wants = {"a0": WHOLE, "a1": WHOLE, "b0": 250_000, "b1": 250_000}
+    pool.play(30)
+    assert pool.of("b") / WHOLE > 0.48
