Partners proven by processes and mutants; a key's order holds over routers that pass on

Checked: both were passed on, datagrams were being lost by the script; nothing ordered two errands of one key. Cause: the keeper let the next of the key go as soon as the verdict was that another leads it (judged, leave_line). Now it goes when it is known how the first ended.

Looked at beside it, and mended with tests: a record that was to be forgotten while its router was down stayed on the disk for ever (recall); where fewer than half of the routers are left nobody heard of a forget (only calls of views told of it).

Seen: the log's fault 'unanswered at its end' of a router that had been stopped: it wakes with all timers due at once. It says late now, not fault.

--- /dev/null
+++ b/hillchute/lab/partners_mutants.py
@@ -0,0 +1,105 @@
+"""One message between partners' routers changed at a time: the real code under a clock and a network of its
+own.
+
+A scripted run (offers, a text, queries that are passed on, a new text under load, a death with such a query
+out, a return, a cut, a notice) is played once; then again, once for each message and each change of it. Owns
+the script and what the ends are compared by. Must never know how the code under it comes to what it does. One
+seed, one run. Played from hillchute.lab.mutants; the changes are history_mutants'.
+
+A liar here is a router: it can say what it likes, but not mark for another partner. It may make holders of
+slots believe what never was, as in the history; but no router may fail at it, no client be answered twice,
+and no text hold that not all have marked.
+"""
+
+from hillchute.history import codec as history
+from hillchute.history.codec import encoder as history_encoder
+from hillchute.history.policy import Policy
+from hillchute.lab import history_mutants
+from hillchute.lab.history_mutants import HARMLESS, Changing
+from hillchute.lab.partners_net import HISTORY, PARTNERS, PartnersNet, founded
+from hillchute.partners import codec
+from hillchute.partners.agreement import digest
+
+ROUTERS = 6
+TITLES = history.Entitle, history.Entitled, history.Call, history.Granted, history.Claim, history.Judged
+KINDS = (*codec.KINDS, *TITLES)
+MAY_BE = (*HARMLESS, "two owners", "deferred and ran", "overtaken")  # what a router that lies may bring about
+
+
+class Net(Changing, PartnersNet):
+    def __init__(self, seed: int, at: int = -1, change: str = "", path: tuple = ()) -> None:
+        self.listen(at, change, path)
+        policy = Policy(rows=True, least_ms=90_000, most_ms=600_000)
+        super().__init__(seed, ROUTERS, founded(copies=1, default=policy), fails=0.0)
+
+    def unchecked(self, message: object) -> bytes:
+        if isinstance(message, codec.Message):
+            return PARTNERS + codec.encoder.encode(message)
+        return HISTORY + history_encoder.encode(message)
+
+    def ask_all(self, first: int, many: int, names: list[str], every: float = 0.3) -> None:
+        for n in range(first, first + many):
+            self.ask(names[n % len(names)], f"t{n}", f"k{n % 4}")
+            if n % 3 == 0:
+                self.change(names[n % len(names)], n % 3)
+            self.advance(every)
+
+    def script(self) -> "Net":
+        self.agree()
+        if not (self.settled() and self.agreed()):
+            self.raised.append("no text came to hold")
+            return self
+        self.ask_all(0, 8, self.names)
+        self.offer("b", 7000)
+        self.ask_all(8, 10, self.names, 0.2)
+        self.advance(4)
+        for n in range(4):  # what ran is known, wherever it is asked for again
+            self.ask(self.names[(n + 1) % ROUTERS], f"t{n}", f"k{n % 4}")
+        self.advance(3)
+        for name in self.names:
+            self.ask(name, f"d{name}", "k1")
+        self.advance(0.2)
+        self.kill("n4")  # b's, with queries that were passed on to it
+        self.advance(9)
+        self.start("n4")
+        self.advance(9)
+        self.cut(["n0", "n1"], self.names[2:])
+        self.advance(2)
+        self.ask_all(30, 3, ["n0", "n5"])
+        self.advance(7)
+        self.mend()
+        self.advance(9)
+        self.councils["n2"].leave(self.clock("n2"))  # c's: its part ends with the notice
+        self.post("n2")
+        self.advance(13)
+        self.ask_all(40, 6, self.names)
+        self.advance(6)
+        if not (self.settled(40) and self.agreed(40)):
+            self.raised.append("did not come to rest")
+        if self.unanswered():
+            self.raised.append(f"{self.unanswered()} clients without an answer")
+        texts: dict[int, object] = {}
+        for name, council in self.councils.items():
+            for number, text in council.ledger.accepted.items():
+                if texts.setdefault(number, text) != text:
+                    self.raised.append(f"{name} has another text of number {number}")
+                for partner in text.shares:
+                    mark = council.ledger.marks.get(digest(text), {}).get(partner)
+                    known = mark is not None and mark.number == number and mark.partner == partner
+                    if not known or not self.check(partner, mark.digest, mark.mark):
+                        self.raised.append(f"{name} accepts text {number} without {partner}'s mark")
+        return self
+
+    def end(self) -> dict[str, object]:
+        """Which text holds, whose the slots are, how often each token ran."""
+        councils = list(self.councils.values())
+        return {
+            "shares": sorted((n, s) for n, s in councils[0].counted(self.clock("n0")).items()),
+            "current": all(c.current() for c in councils),
+            "owners": sorted({owner: self.owners().count(owner) for owner in "abc"}.items()),
+            "ran_at_most": max(len(runs) for runs in self.runs.values()),
+        }
+
+
+def play(seed: int, most: int | None = None, jobs: int | None = None) -> dict[str, object]:
+    return history_mutants.play(seed, most, jobs, Net, KINDS, MAY_BE)
--- a/hillchute/lab/partners_net.py
+++ b/hillchute/lab/partners_net.py
@@ -56,7 +56,8 @@
         self.check: Check = checker({p: public(p) for p in self.partners})
         self.asks: dict[int, list] = {}  # name, life, asked, patience, answers: of each query of a client
         self.ask_of: dict[tuple[str, int, int], int] = {}  # by claim, and by errand
-        self.errand_of: dict[tuple[str, int, int], int] = {}
+        self.errand_of: dict[tuple[str, int, int], tuple[int, int]] = {}  # with the claim's number
+        self.ran_last: dict[tuple[str, int, str], int] = {}  # of one router's clients and a key: the last
         self.errands: dict[tuple[str, int, int], int] = {}  # all that ever were
         self.session_of: dict[tuple[str, int, int], int] = {}  # of claims for guests
         self.led: dict[str, list[tuple[Time, Time, str]]] = defaultdict(list)  # key: when, by whose router
@@ -234,6 +235,8 @@
         session, ask = self.session_of.pop(claim, None), self.ask_of.pop(claim, None)
         how = {Verdict.ANSWER: "finished", Verdict.KILL: "killed"}.get(verdict, "deferred")
         if session is not None:
+            if verdict is Verdict.PASS:
+                self.keepers[name].ended(self.clock(name), claim[2], FREED)
             self.passings[name].answered(self.clock(name), session, how, why, rows)
             return
         if verdict is Verdict.PASS:
@@ -247,8 +250,10 @@
                     0, 0, 0, token, "g", key.encode(), None if once else token, None, 0.0, None, "", left
                 )
                 errand = passing.send(now, to, message, now + left)
-                self.errand_of[name, life, errand] = self.errands[name, life, errand] = ask
+                self.errand_of[name, life, errand] = ask, claim[2]
+                self.errands[name, life, errand] = ask
                 return
+            self.keepers[name].ended(now, claim[2], FREED)
         self.answered(ask, how)
 
     def take_guests(self, name: str) -> None:
@@ -261,12 +266,15 @@
             self.session_of[claim] = session
         ended, passing.ended = passing.ended, []
         for number, how, _, rows in ended:
-            ask = self.errand_of.pop((name, life, number), None)
+            ask, mine = self.errand_of.pop((name, life, number), (None, 0))
+            self.rule["ended twice"] += ask is None
+            if mine:
+                self.keepers[name].ended(self.clock(name), mine, FREED)
             if how == "finished" and rows is None:
                 self.rule["wrong answer"] += 1
             if ask is not None:
                 self.answered(ask, how)
-        if came:
+        if came or ended:
             super().post(name)
 
     def run(self, claim: tuple[str, int, int], token: str, key: str) -> None:
@@ -278,6 +286,10 @@
         if ask is not None:
             self.ran_for.add(ask)
             self.rule["deferred and ran"] += ask in self.turned_away
+            if ask in self.asks and not key.startswith(TABLES):
+                line = (*self.asks[ask][:2], key)
+                self.rule["overtaken"] += ask < self.ran_last.get(line, 0)
+                self.ran_last[line] = max(ask, self.ran_last.get(line, 0))
         begin, end = self.runs[token][-1]
         partner = self.partner_of[claim[0]]
         if any(b < end and begin < e and other != partner for b, e, other in self.led[key]):
--- a/hillchute/partners/council.py
+++ b/hillchute/partners/council.py
@@ -145,7 +145,9 @@
             self.beat_at = now
             for name in self.some(living, AT_ONCE if news else 1):
                 self.out.append((name, Have(digest)))
-        self.look(now)
+        if news:
+            self.look(now)
+        self.due_slots(now)
 
     def some(self, names: list[str], many: int) -> list[str]:
         self.drawn += 1
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -199,6 +199,7 @@
         if q is None or q.answered or q.claim not in ("asked", "passed on"):
             return
         if verdict == "PASS" and q.session >= FIRST_GUEST:
+            self.desk.ask(Close(id, number, "freed", None))
             verdict, why = "DEFER", "its slot has another owner meanwhile"  # there is no second hop
         match verdict:
             case "RUN":
@@ -216,6 +217,8 @@
                 effect, how = Kill(q.session, why), "killed"
             case _:
                 effect, how = Defer(q.session, 0), "deferred"
+        if q.claim == "passed on":
+            self.desk.ask(Close(q.request.id, q.number, "freed", None))  # the next of its key has its turn
         q.claim = ""
         self.answer(q, effect, how, f"history: {why}")
 
@@ -257,7 +260,10 @@
             if q.claim == "passed on":
                 self.answer(q, Kill(q.session, "no answer in time"), "killed", "passed on: no answer in time")
                 return
-            self.desk.note("fault", what="unanswered at its end", query=q.request.id)
+            # A process that stood still wakes with this timer and the module's own all due at once.
+            stood = self.desk.now - max(q.due, q.taken + q.request.patience - AFTER_ALL)
+            event = "late" if stood > AFTER_ALL else "fault"
+            self.desk.note(event, what="unanswered at its end", query=q.request.id)
             self.module.left(self.desk.now, q.request.id)
             self.answer(q, Kill(q.session, "no answer in time"), "unanswered")
 
@@ -326,6 +332,7 @@
         if q.claim == "passed on":
             q.claim = ""
             self.desk.ask(Recall(q.request.id, q.number))
+            self.desk.ask(Close(q.request.id, q.number, "freed", None))
             return
         q.claim, results = "", {leg.result for leg in q.legs}
         how = "freed" if results <= NEVER_RAN else "finished" if "finished" in results else "killed"
--- a/hillchute/router/remembering.py
+++ b/hillchute/router/remembering.py
@@ -95,7 +95,7 @@
             query = self.queries.get(mine)
             if query is None:
                 continue
-            if verdict is not Verdict.RUN:
+            if verdict not in (Verdict.RUN, Verdict.PASS):
                 del self.queries[mine], self.numbers[query]
             try:
                 self.judged(*query, verdict.name, why, None if rows is None else rows_out.decode(rows))
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -562,6 +562,20 @@
     assert net.held("t") == []
 
 
+def test_forget_reaches_holders_of_whom_fewer_than_half_are_left():
+    net = net_of()
+    assert asked(net, "n0", "t", "k") == "RUN"
+    net.advance(3)
+    held = net.held("t")
+    assert len(held) == 2
+    for name in [name for name in net.names if name not in held]:
+        net.kill(name)
+    net.advance(8)  # no view can be in force any more
+    net.forget(held[0])
+    net.advance(2 * 2 + 2)
+    assert not net.held("t")
+
+
 def test_holder_that_has_not_the_last_policies_answers_nothing_and_is_named():
     net = net_of(copies=0)
     key = key_held_by(net, "n2")
--- a/tests/test_remembering.py
+++ b/tests/test_remembering.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 import anyio
+import msgspec
 import pytest
 from conftest import CATALOG
 
@@ -229,6 +230,16 @@
     assert not list(keeper_on(tmp_path / "h.db").shelf.all())
 
 
+def test_what_is_to_be_forgotten_when_a_router_starts_again_leaves_its_disk(tmp_path):
+    keeper = keeper_on(tmp_path / "h.db")
+    keeper.shelf.put(record(rows=b"seldom-seen-rows"), EPOCH, 0, keeper.book)
+    assert keeper.save() and b"seldom-seen" in bytes_of(tmp_path)
+    book = msgspec.structs.replace(keeper.book, number=2, forgets=(Forget(EPOCH + 1),))
+    keeper.disk.db.close()
+    assert not list(keeper_on(tmp_path / "h.db", book, EPOCH + SECOND).shelf.all())
+    assert b"seldom-seen" not in bytes_of(tmp_path)
+
+
 def test_policy_that_wants_no_disk_takes_records_off_it(tmp_path):
     keeper = keeper_on(tmp_path / "h.db")
     keeper.shelf.put(record(rows=b"seldom-seen-rows"), EPOCH, 0, keeper.book)
