--- a/hillchute/lab/partnership.py
+++ b/hillchute/lab/partnership.py
@@ -56,16 +56,20 @@
         self.wants[partner] = want
 
 
-def ports_of(process: int) -> set[int]:
-    """Local ports of the TCP connections that a process holds."""
+def sockets(ports: set[int]) -> dict[str, int]:
+    """The kernel's numbers of the sockets on this machine that are bound to one of some ports."""
+    rows = (row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:])
+    bound = ((row[9], int(row[1].split(":")[1], 16)) for row in rows)
+    return {number: port for number, port in bound if port in ports}
+
+
+def held(process: int, known: dict[str, int]) -> set[int]:
+    """Ports of those that a process holds."""
     try:
         links = [str(link.readlink()) for link in Path(f"/proc/{process}/fd").iterdir()]
-        rows = Path(f"/proc/{process}/net/tcp").read_text().splitlines()[1:]
     except OSError:  # it has ended meanwhile
         return set()
-    inodes = {link[8:-1] for link in links if link.startswith("socket:[")}
-    fields = (row.split() for row in rows)
-    return {int(row[1].split(":")[1], 16) for row in fields if row[9] in inodes}
+    return {known[link[8:-1]] for link in links if link.startswith("socket:[") and link[8:-1] in known}
 
 
 def unit(ran: Ran, key: str | None, statement: str) -> str:
--- a/hillchute/lab/processes.py
+++ b/hillchute/lab/processes.py
@@ -32,10 +32,11 @@
 from hillchute.lab.partnership import (
     PARTNERS,
     Partnership,
+    held,
     known,
     over_quota,
     partner_of,
-    ports_of,
+    sockets,
     two_owners,
 )
 from hillchute.lab.world import Ran, World
@@ -64,6 +65,7 @@
 )
 REMEMBERED = ("policies", "forgotten in a cut", "old disk")  # kinds that need the history
 AGREED = ("agreement",)  # and partners
+LOOKS = 3  # at who holds a connection: it may have ended meanwhile
 SKEW = 0.5  # seconds by which a router's clock may be off, where there are partners
 
 
@@ -234,12 +236,16 @@
 
     async def look_at_connections(self) -> None:
         """Who holds the other end of each connection to an engine, while both are there."""
+        looked: Counter[int] = Counter()
         while True:
             new = {number: port for number, port in self.world.talks.items() if number not in self.whose}
-            for member in self.members if new else ():
+            new = {number: port for number, port in new.items() if looked[number] < LOOKS}
+            looked.update(new.keys())
+            known = sockets(set(new.values())) if new else {}
+            for member in self.members if known else ():
                 if member.process is not None and member.process.poll() is None:
-                    held = ports_of(member.process.pid)
-                    mine = [number for number, port in new.items() if port in held]
+                    ports = held(member.process.pid, known)
+                    mine = [number for number, port in new.items() if port in ports]
                     self.whose |= dict.fromkeys(mine, partner_of(member.number))
             await anyio.sleep(0.05)
 
