A partner's key is not among what holds; answers that nobody hears are given up

Read once more, each with a test: the key read from partners.key_file stood in the record that `hillchute check` prints; an answer to a router that had gone was said again for ten minutes. A router that ends waits until the answers that it owes to others have come.

--- a/hillchute/operator/reading.py
+++ b/hillchute/operator/reading.py
@@ -107,17 +107,12 @@
             raise BadRecord(f"{here}.offer: expected least <= want <= most")
         if offer["begins_ms"] >= offer["ends_ms"]:
             raise BadRecord(f"{here}.offer.ends_ms: expected more than begins_ms")
-        partners["secret"] = secret(partners["key_file"], f"{here}.key_file")
+        from hillchute.partners.kept import key_in
 
-
-def secret(path: str, here: str) -> bytes:
-    try:
-        key = bytes.fromhex(Path(path).read_text(encoding="ascii").strip())
-    except (OSError, ValueError) as fault:
-        raise BadRecord(f"{here}: {path}: {fault}") from None
-    if len(key) != 32:
-        raise BadRecord(f"{here}: {path}: expected 64 hex digits")
-    return key
+        try:
+            key_in(partners["key_file"])  # it is read where it is used: what holds may be printed
+        except (OSError, ValueError) as fault:
+            raise BadRecord(f"{here}.key_file: {partners['key_file']}: {fault}") from None
 
 
 def defaults() -> dict[str, object]:
--- a/hillchute/partners/kept.py
+++ b/hillchute/partners/kept.py
@@ -1,6 +1,6 @@
-"""What a partner has marked, in a file that lasts: written before a mark is given.
+"""What a partner has marked, in a file that lasts: written before a mark is given; and the file of its key.
 
-Owns the file: one line a mark, its number and the digest of its text. Must never decide what is marked.
+Owns both: one line a mark, its number and the digest of its text. Must never decide what is marked.
 """
 
 import os
@@ -8,6 +8,16 @@
 
 from hillchute.errors import MarksNotKept
 
+KEY = 32  # bytes of an Ed25519 key
+
+
+def key_in(path: str | Path) -> bytes:
+    """A private key, from a file of 64 hex digits. Raises OSError or ValueError."""
+    key = bytes.fromhex(Path(path).read_text(encoding="ascii").strip())
+    if len(key) != KEY:
+        raise ValueError(f"expected {2 * KEY} hex digits")
+    return key
+
 
 class MarksFile:
     def __init__(self, path: str | Path) -> None:
--- a/hillchute/partners/passing.py
+++ b/hillchute/partners/passing.py
@@ -26,6 +26,7 @@
 AGAIN: Time = 1_000  # after 0.1 s without a word a message goes again: some ways there and back
 SLOWEST = 4  # doublings of that time
 KEPT: Time = 6_000_000  # so long after its end a query that was taken is known, so that a late repeat is one
+ANSWER_FOR: Time = 20_000  # after its end an answer is sent so long still: its asker has answered by then
 ROWS = MOST - 4096  # bytes of a result that pass: the message has other fields, too
 
 
@@ -141,6 +142,11 @@
         guest.sent, guest.tries = now, guest.tries + 1
         self.out.append((guest.sender, guest.answer))
 
+    @property
+    def owes(self) -> bool:
+        """Whether an answer is on its way, of which nobody has said that it came."""
+        return any(guest.answer is not None for guest in self.guests.values())
+
     # ---- in and out -----------------------------------------------------------------------------------
 
     def receive(self, now: Time, sender: str, message: msgspec.Struct) -> None:
@@ -177,5 +183,7 @@
         for name, guest in list(self.guests.items()):
             if now - guest.due > KEPT:
                 del self.guests[name], self.by_session[guest.session]
+            elif guest.answer is not None and now - guest.due > ANSWER_FOR:
+                guest.over, guest.answer = True, None
             elif guest.answer is not None and now - guest.sent >= AGAIN << min(guest.tries, SLOWEST):
                 self.send_answer(now, guest)
--- a/hillchute/router/partnering.py
+++ b/hillchute/router/partnering.py
@@ -21,7 +21,7 @@
 from hillchute.partners.agreement import Marker, Offer
 from hillchute.partners.codec import Have, Know, Pass, decode, encode
 from hillchute.partners.council import Council
-from hillchute.partners.kept import MarksFile
+from hillchute.partners.kept import MarksFile, key_in
 from hillchute.partners.marks import checker, signer
 from hillchute.partners.passing import Passing
 from hillchute.partners.pool import floor, homes
@@ -72,14 +72,15 @@
 
     def hand(self) -> Marker | None:
         """What marks for the own partner, on the one router that does."""
-        if "secret" not in self.settings:
+        if "key_file" not in self.settings:
             return None
         try:
             self.file = MarksFile(self.settings["marks_file"])
         except MarksNotKept as fault:
             self.log.write("partners", **fault.told)
             return None
-        return Marker(self.settings["own"], signer(self.settings["secret"]), self.file.save, self.file.marked)
+        sign = signer(key_in(self.settings["key_file"]))
+        return Marker(self.settings["own"], sign, self.file.save, self.file.marked)
 
     def say_offer(self) -> None:
         if self.council.marker is None:
--- a/hillchute/router/peering.py
+++ b/hillchute/router/peering.py
@@ -92,11 +92,15 @@
             self.remembering.keeper.leaving = True
 
     async def hand_over(self) -> None:
-        """A router that ends stays until others have what it alone holds, or for so long."""
+        """A router that ends stays until others have what it alone holds, and the answers that it owes them,
+        or for so long."""
         if self.remembering is None:
             return
-        end = self.clock() + HAND_OVER
-        while not self.remembering.handed_over and self.clock() < end:
+        end, partnering = self.clock() + HAND_OVER, self.partnering
+        while self.clock() < end:
+            owes = partnering is not None and partnering.passing.owes
+            if self.remembering.handed_over and not owes:
+                break
             await anyio.sleep(HAND_OVER_STEP)
 
     def heard(self) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -293,6 +293,20 @@
     assert not s.guests and not s.by_session
 
 
+def test_answer_that_nobody_hears_is_given_up():
+    r, s, _ = pair()
+    r.send(0, "s", QUERY, SECOND)
+    carry(r, s)
+    s.answered(0, s.came[0][0], "finished", "", b"rows")
+    assert s.owes
+    for now in range(0, 4 * SECOND, AGAIN):
+        s.tick(now)
+    assert not s.owes and len(s.out) < 12
+    s.out.clear()
+    s.tick(5 * SECOND)
+    assert not s.out and s.guests
+
+
 def test_query_for_a_life_that_is_over_is_not_taken_by_the_next():
     r, s, dead = pair()
     number = r.send(0, "s", QUERY, 10 * SECOND)
--- a/tests/test_partnering.py
+++ b/tests/test_partnering.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from hillchute.accord.quotas import LENT, Quotas
+from hillchute.cli import commands
 from hillchute.decision.interface import Listing
 from hillchute.decision.teamwork import SECOND, Teamwork
 from hillchute.fronts.events import FIRST_GUEST
@@ -175,6 +176,15 @@
         reading.hold(text(own))
 
 
+def test_key_is_not_among_what_holds(tmp_path, capsysbinary):
+    (tmp_path / "k").write_text(private("a").hex())
+    own = f'own: "a", {OFFER}, key_file: "{tmp_path / "k"}", marks_file: "m", {MEMBERS}'
+    (tmp_path / "o.cue").write_text(text(own))
+    assert commands.main(["check", str(tmp_path / "o.cue"), "--json"]) == 0
+    said = capsysbinary.readouterr().out
+    assert b'"offer"' in said and private("a").hex().encode() not in said
+
+
 class Log:
     def __init__(self):
         self.lines = []
