--- a/hillchute/lab/processes.py
+++ b/hillchute/lab/processes.py
@@ -435,6 +435,7 @@
             "resent": len(self.resends),
             "replayed": len(replayed),
             "ran_twice": len(self.ran_twice()),
+            "out_of_order": sum(fault.startswith("rule 5") for fault in broken),
             "forgotten_too_soon": len(self.forgotten_too_soon()),
             "passed_on": self.passed_on(),
             "led_known": round(self.led_known(), 3),
