Marks of partners say what they are of; one codec and one rider for history and partners

Read once more, and mended, each fault with a test that fails without it: - A mark was signed over a digest alone. A router that lies could show a partner's marks on an offer and on a text of one number, or a later text's with its number changed, as two texts for a number, and so take its part. Once where it was twice: bytes to messages (peers/messages.py), pieces and rows of riders (router/riding.py), the end of a query that was passed on (reducer's close), the rigs' verdicts, crowds and pool. Less work: marks that are known are not checked again, homes of the pool follow the council's revision, and Took makes a query's repeats seldom.

--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -258,11 +258,15 @@
     work: float = 0.0
 
     def add(self, now: Time, work: float, span: Time) -> float:
-        """Takes one in; the rate, in cores. Over a time that has just begun it is high, never low."""
-        while self.line and self.line[0][0] < now - span:
-            self.work -= self.line.popleft()[1]
+        """Takes one in; the rate, in cores."""
         self.line.append((now, work))
         self.work += work
+        return self.rate(now, span)
+
+    def rate(self, now: Time, span: Time) -> float:
+        """In cores. Over a time that has just begun it is high, never low."""
+        while self.line and self.line[0][0] < now - span:
+            self.work -= self.line.popleft()[1]
         return self.work / max(1, min(span, now - self.began))
 
 
--- a/hillchute/history/codec.py
+++ b/hillchute/history/codec.py
@@ -12,7 +12,6 @@
 import msgspec
 
 from hillchute.decision.interface import Time
-from hillchute.errors import DatagramDropped
 from hillchute.history.policy import TEXT, Book
 from hillchute.history.policy import unfit as unfit_book
 from hillchute.history.records import KILLED, Record
@@ -20,6 +19,7 @@
 from hillchute.history.titles import Title
 from hillchute.history.verdict import Verdict
 from hillchute.history.views import Grant, Id, Promise, View
+from hillchute.peers.messages import Codec
 
 NAME = 64
 MEMBERS = 4096
@@ -34,7 +34,6 @@
     "verdict": max(verdict.value for verdict in Verdict),
     "state": KILLED,
 }
-MOST = 8 << 20  # bytes of one message
 PARTS = 4096  # messages that a slot goes in at the most
 
 
@@ -192,33 +191,9 @@
     Ask | Promised | Call | Granted | Text | Change | WantBook | BookIs | Claim | Judged | End | Ended
     | Store | Stored | Fetch | Data | Elsewhere | Entitle | Entitled
 )  # fmt: skip
-encoder, decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
 KINDS = get_args(Message)
 
 
-def encode(message: Message) -> bytes:
-    """The bytes; raises ValueError for what no receiver would take."""
-    if fault := unfit(message):
-        raise ValueError(fault)
-    data = encoder.encode(message)
-    if len(data) > MOST:
-        raise ValueError(f"{len(data)} bytes, {MOST} at most")
-    return data
-
-
-def decode(data: bytes, sender: str) -> Message:
-    """Raises DatagramDropped with the field that is out of its bounds."""
-    if len(data) > MOST:
-        raise DatagramDropped("history: too long", sender)
-    try:
-        message = decoder.decode(data)
-    except (msgspec.DecodeError, RecursionError) as fault:
-        raise DatagramDropped(f"history: {fault}", sender) from None
-    if fault := unfit(message):
-        raise DatagramDropped(f"history: {fault}", sender)
-    return message
-
-
 def unfit(message: Message) -> str:
     """The first field out of its bounds. Guards against a peer that may mark what it likes."""
     for name in message.__struct_fields__:
@@ -263,3 +238,7 @@
 def unfit_record(record: Record) -> str:
     faults = (unfit_field(name, getattr(record, name)) for name in record.__struct_fields__)
     return next(filter(None, faults), "")
+
+
+codec = Codec("history", Message, unfit)
+encode, decode, encoder = codec.encode, codec.decode, codec.encoder
--- a/hillchute/lab/history_net.py
+++ b/hillchute/lab/history_net.py
@@ -215,6 +215,18 @@
                 self.rule["kept too long"] += 1
             if verdict is Verdict.RUN:
                 self.run(claim, token, key)
+            else:
+                self.over(claim, verdict, why, rows, (token, key, asked))
+
+    def over(
+        self,
+        claim: tuple[str, int, int],
+        verdict: Verdict,
+        why: str,
+        rows: bytes | None,
+        about: tuple[str, str, Time],
+    ) -> None:
+        """A claim that does not run here; `about`: its token, its key, when it was asked."""
 
     def run(self, claim: tuple[str, int, int], token: str, key: str) -> None:
         """The engine runs it, whatever becomes of the router; its answer finds the router, or does not."""
--- a/hillchute/lab/partners.py
+++ b/hillchute/lab/partners.py
@@ -22,7 +22,7 @@
 from hillchute.history.records import STILL_OUT
 from hillchute.history.slots import SLOTS, holders, slot_of
 from hillchute.history.titles import Moving
-from hillchute.lab.partners_net import PATIENCE, SECOND, STEP, PartnersNet, founded
+from hillchute.lab.partners_net import PATIENCE, SECOND, PartnersNet, crowd, founded, swing
 from hillchute.partners.pool import floor, homes
 from hillchute.partners.split import moves, split, split_by_work
 from hillchute.router.partnering import GROWS_AFTER
@@ -122,29 +122,21 @@
 
 def unowned(seed: int, swings: int = 8) -> dict[str, object]:
     """Slots that move by new agreements under load: from when nobody leads until the new owner may."""
-    net, chance, number = Timed(seed, 9, founded(copies=2, default=KEEPS)), random.Random(seed), 0
+    net, chance = Timed(seed, 9, founded(copies=2, default=KEEPS)), random.Random(seed)
     net.agree()
     net.settled()
     net.agreed()
-    for swing in range(swings):
-        gainer = "abc"[swing % 3]
-        for partner in "abc":
-            net.offer(partner, 6000 if partner == gainer else 2000)
+    for n in range(swings):
+        swing(net, "abc"[n % 3], 6000, 2000)
         until = net.now + 12 * SECOND
         while net.now < until:
-            for name in chance.sample(net.names, 2):
-                number += 1
-                if chance.random() < 0.5:
-                    net.change(name, chance.randint(0, 400))
-                else:
-                    net.ask(name, f"r{number}", f"k{chance.randint(0, 400)}")
-            net.advance(STEP / SECOND)
+            crowd(net, chance, 2, 400)
         net.agreed()
     gaps = sorted(gap / 10 for gap in net.gaps)
     cuts = quantiles(gaps, n=100)
     return {
         "slots_moved": len(gaps),
-        "queries": number,
+        "queries": net.numbers,
         "unowned_ms_p50": round(cuts[49], 1),
         "unowned_ms_p99": round(cuts[98], 1),
         "unowned_ms_most": round(gaps[-1], 1),
--- a/hillchute/lab/partners_mutants.py
+++ b/hillchute/lab/partners_mutants.py
@@ -18,7 +18,7 @@
 from hillchute.lab.history_mutants import HARMLESS, Changing
 from hillchute.lab.partners_net import HISTORY, PARTNERS, PartnersNet, founded
 from hillchute.partners import codec
-from hillchute.partners.agreement import digest
+from hillchute.partners.agreement import Text, digest, words
 
 ROUTERS = 6
 TITLES = history.Entitle, history.Entitled, history.Call, history.Granted, history.Claim, history.Judged
@@ -86,7 +86,8 @@
                 for partner in text.shares:
                     mark = council.ledger.marks.get(digest(text), {}).get(partner)
                     known = mark is not None and mark.number == number and mark.partner == partner
-                    if not known or not self.check(partner, mark.digest, mark.mark):
+                    said = words(Text, number, digest(text))
+                    if not known or not self.check(partner, said, mark.mark):
                         self.raised.append(f"{name} accepts text {number} without {partner}'s mark")
         return self
 
--- a/hillchute/lab/partners_net.py
+++ b/hillchute/lab/partners_net.py
@@ -201,37 +201,16 @@
             if self.asks[ask][4] > 1:
                 self.rule["two answers"] += 1
 
-    def judged(self, name: str, keeper: Keeper) -> None:
-        verdicts, keeper.verdicts = keeper.verdicts, []
-        for number, verdict, why, rows in verdicts:
-            claim = name, self.lives[name], number
-            if claim not in self.open:
-                self.rule["answered twice"] += 1
-                continue
-            token, key, asked = self.open[claim]
-            self.said[f"{verdict.name}: {why}"] += 1
-            if verdict is Verdict.RUN:
-                self.run(claim, token, key)
-                continue
-            del self.open[claim]
-            if verdict is Verdict.ANSWER and rows != f"rows of {token}".encode():
-                self.rule["wrong answer"] += 1
-            if verdict is Verdict.ANSWER and self.too_late(token):
-                self.rule["kept too long"] += 1
-            self.over(claim, verdict, why, rows, token, key, asked)
-
     def over(
         self,
         claim: tuple[str, int, int],
         verdict: Verdict,
         why: str,
         rows: bytes | None,
-        token: str,
-        key: str,
-        asked: Time,
+        about: tuple[str, str, Time],
     ) -> None:
         """A claim that does not run here is answered, or passed on if it came from a client."""
-        name, life, _ = claim
+        (name, life, _), (token, key, asked) = claim, about
         session, ask = self.session_of.pop(claim, None), self.ask_of.pop(claim, None)
         how = {Verdict.ANSWER: "finished", Verdict.KILL: "killed"}.get(verdict, "deferred")
         if session is not None:
@@ -347,25 +326,31 @@
         return False
 
 
+def crowd(net: PartnersNet, chance: random.Random, many: int, keys: int) -> None:
+    """So many clients ask, of so many keys and table groups, and a step goes by."""
+    for name in chance.sample(net.names, many):
+        if chance.random() < 0.5:
+            net.change(name, chance.randrange(keys))
+        else:
+            net.ask(name, f"r{net.numbers}", f"k{chance.randrange(keys)}")
+    net.advance(STEP / SECOND)
+
+
+def swing(net: PartnersNet, gainer: str, much: int, little: int) -> None:
+    for partner in net.partners:
+        net.offer(partner, much if partner == gainer else little)
+
+
 def rush(net: PartnersNet, seed: int, swings: int = 6) -> bool:
     """Agreements that move most slots to and fro while a few keys and table groups are asked for all along,
     and now and then a router dies as it moves a title. Whether it all came to rest."""
-    chance, number = random.Random(seed), 0
-    partners = list(net.partners)
-    for swing in range(swings):
-        gainer = partners[swing % len(partners)]
-        for partner in partners:
-            net.offer(partner, 8000 if partner == gainer else 1000)
+    chance, partners = random.Random(seed), list(net.partners)
+    for n in range(swings):
+        swing(net, partners[n % len(partners)], 8000, 1000)
         until = net.now + 4 * SECOND
         killer = chance.random() < 0.5
         while net.now < until:
-            for name in chance.sample(net.names, 3):
-                number += 1
-                if chance.random() < 0.5:
-                    net.change(name, chance.randint(0, 3))
-                else:
-                    net.ask(name, f"r{number}", f"k{chance.randint(0, 5)}")
-            net.advance(STEP / SECOND)
+            crowd(net, chance, 3, 5)
             moved = [n for n, k in net.keepers.items() if k.counts["titles moved"] or k.moving]
             if killer and net.now > until - 2 * SECOND and moved and len(net.keepers) == len(net.names):
                 net.kill(chance.choice(moved))
@@ -407,4 +392,4 @@
     return net.settled(60) and net.agreed(60)
 
 
-__all__ = ["SECOND", "STEP", "PartnersNet", "founded", "rush", "storm"]
+__all__ = ["SECOND", "PartnersNet", "crowd", "founded", "rush", "storm", "swing"]
--- a/hillchute/partners/agreement.py
+++ b/hillchute/partners/agreement.py
@@ -88,6 +88,12 @@
     return blake2b(type(value).__name__.encode() + encoder.encode(value), digest_size=32).digest()
 
 
+def words(kind: type, number: int, sealed: bytes) -> bytes:
+    """What is signed. Guards against a mark that is shown as another: of an offer as of a text, or with
+    another number, as a proof of two texts."""
+    return b"%s %d " % (kind.__name__.encode(), number) + sealed
+
+
 def unfit(text: Text) -> str:
     """The first field that nobody could honour; empty for a sound text."""
     if not 0 < text.number < 1 << 53:
@@ -199,16 +205,19 @@
         if not self.save(text.number, sealed):
             raise TextNotTaken("what is marked can't be kept, so it is not given", self.me)
         self.marked[text.number] = sealed
-        return Mark(self.me, text.number, sealed, self.sign(sealed))
+        return self.signed(Text, text.number, sealed)
 
     def offer(self, offer: Offer) -> Mark:
         """Guards against an offer that somebody else makes in this partner's name."""
-        return Mark(self.me, offer.turn, digest(offer), self.sign(digest(offer)))
+        return self.signed(Offer, offer.turn, digest(offer))
+
+    def signed(self, kind: type, number: int, sealed: bytes) -> Mark:
+        return Mark(self.me, number, sealed, self.sign(words(kind, number, sealed)))
 
     def leave(self, text: Text, now: Time) -> tuple[Notice, Mark]:
         """Notice to a text, as early as it allows."""
         notice = Notice(self.me, text.number, now + text.notice)
-        return notice, Mark(self.me, text.number, digest(notice), self.sign(digest(notice)))
+        return notice, self.signed(Notice, text.number, digest(notice))
 
 
 class Ledger:
@@ -234,8 +243,10 @@
 
     def hear_offer(self, offer: Offer, mark: Mark) -> bool:
         """Of two offers of one turn everybody keeps the same."""
+        if self.offers.get(offer.partner) == (offer, mark):
+            return True  # it comes again with each telling
         fits = mark.partner == offer.partner and mark.digest == digest(offer) and not unfit_offer(offer)
-        if not fits or not self.signed(mark):
+        if not fits or mark.number != offer.turn or not self.signed(Offer, mark):
             return False
         known = self.offers.get(offer.partner)
         if known is None or (offer.turn, mark.digest) > (known[0].turn, known[1].digest):
@@ -257,10 +268,10 @@
 
     def hear_mark(self, mark: Mark) -> bool:
         """Guards against one that marks without end: of each partner some of the highest are remembered."""
-        if not self.signed(mark):
-            return False
-        if mark.digest in self.marks and mark.partner in self.marks[mark.digest]:
+        if mark.partner in self.marks.get(mark.digest, {}):
             return True
+        if not self.signed(Text, mark):
+            return False
         mine = sorted(
             (marks[mark.partner].number, sealed)
             for sealed, marks in self.marks.items()
@@ -279,8 +290,10 @@
 
     def hear_two(self, one: Mark, other: Mark) -> bool:
         """Two marks of one partner for one number: of several such pairs the lowest counts."""
+        if self.two_texts.get(one.partner) == (one, other):
+            return True
         fits = one.partner == other.partner and one.number == other.number and one.digest != other.digest
-        if not fits or not (self.signed(one) and self.signed(other)):
+        if not fits or not (self.signed(Text, one) and self.signed(Text, other)):
             return False
         pair = (one, other) if one.digest < other.digest else (other, one)
         known = self.two_texts.get(one.partner)
@@ -289,16 +302,19 @@
         return True
 
     def hear_notice(self, notice: Notice, mark: Mark) -> bool:
+        if self.notices.get((notice.number, notice.partner)) == (notice, mark):
+            return True
         fits = mark.partner == notice.partner and mark.digest == digest(notice)
-        if not fits or not self.signed(mark):
+        if not fits or mark.number != notice.number or not self.signed(Notice, mark):
             return False
         known = self.notices.get((notice.number, notice.partner))
         if known is None or notice.at < known[0].at:
             self.notices[notice.number, notice.partner] = notice, mark
         return True
 
-    def signed(self, mark: Mark) -> bool:
-        return mark.partner in self.partners and self.check(mark.partner, mark.digest, mark.mark)
+    def signed(self, kind: type, mark: Mark) -> bool:
+        said = words(kind, mark.number, mark.digest)
+        return mark.partner in self.partners and self.check(mark.partner, said, mark.mark)
 
     def forget(self, sealed: bytes, partner: str) -> None:
         self.marks[sealed].pop(partner)
--- a/hillchute/partners/codec.py
+++ b/hillchute/partners/codec.py
@@ -12,11 +12,10 @@
 import msgspec
 
 from hillchute.decision.interface import Time
-from hillchute.errors import DatagramDropped
 from hillchute.history.policy import TEXT
 from hillchute.partners.agreement import NAME, PARTNERS, TEXTS, Mark, Notice, Offer, Text, unfit, unfit_offer
+from hillchute.peers.messages import Codec
 
-MOST = 8 << 20  # bytes of one message
 WHOLE = 1 << 62
 DAY: Time = 864_000_000
 SEAL, SIGNED = 32, 64  # bytes of a digest, and of a mark on it
@@ -93,34 +92,10 @@
 
 
 Message = Have | Know | Pass | Took | Answer | Got | Drop
-encoder, decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
 KINDS = get_args(Message)
 HOW = ("finished", "deferred", "killed")
 
 
-def encode(message: Message) -> bytes:
-    """The bytes; raises ValueError for what no receiver would take."""
-    if fault := unfit_message(message):
-        raise ValueError(fault)
-    data = encoder.encode(message)
-    if len(data) > MOST:
-        raise ValueError(f"{len(data)} bytes, {MOST} at most")
-    return data
-
-
-def decode(data: bytes, sender: str) -> Message:
-    """Raises DatagramDropped with the field that is out of its bounds."""
-    if len(data) > MOST:
-        raise DatagramDropped("partners: too long", sender)
-    try:
-        message = decoder.decode(data)
-    except (msgspec.DecodeError, RecursionError) as fault:
-        raise DatagramDropped(f"partners: {fault}", sender) from None
-    if fault := unfit_message(message):
-        raise DatagramDropped(f"partners: {fault}", sender)
-    return message
-
-
 def unfit_message(message: Message) -> str:
     """The first field out of its bounds. Guards against a peer that may mark what it likes."""
     match message:
@@ -169,3 +144,7 @@
 def unfit_mark(mark: Mark) -> bool:
     sizes = len(mark.digest) == SEAL and len(mark.mark) == SIGNED
     return not (sizes and 0 < len(mark.partner) <= NAME and 0 <= mark.number < 1 << 53)
+
+
+codec = Codec("partners", Message, unfit_message)
+encode, decode, encoder = codec.encode, codec.decode, codec.encoder
--- a/hillchute/partners/council.py
+++ b/hillchute/partners/council.py
@@ -188,7 +188,11 @@
 
     def mark(self) -> None:
         """Marks a text that is exactly what follows from all offers that are known here."""
-        last, ledger = self.ledger.last(), self.ledger
+        last, ledger, refused = self.ledger.last(), self.ledger, {}
+        # Guards against an old file of marks: what others have of our own hand is marked, too.
+        mine = (marks[self.partner] for marks in ledger.marks.values() if self.partner in marks)
+        for mark in mine:
+            self.marker.marked.setdefault(mark.number, mark.digest)
         for sealed, text in sorted(ledger.texts.items(), key=lambda item: item[1].number):
             done = self.partner in ledger.marks.get(sealed, {})
             if done or self.own is None or (last is not None and text.number <= last.number):
@@ -203,10 +207,10 @@
                     raise TextNotTaken(f"text {text.number} is not what follows from the offers known here")
                 mark = self.marker.mark(text, self.own)
             except TextNotTaken as fault:
-                self.refused[text.number] = fault
-                continue
-            self.refused.pop(text.number, None)
-            ledger.hear_mark(mark)
+                refused[text.number] = fault
+            else:
+                ledger.hear_mark(mark)
+        self.refused = {n: fault for n, fault in self.refused.items() if n == 0} | refused
 
     # ---- which text holds, and whose each slot is: what the slots' holders ask --------------------------
 
--- a/hillchute/partners/passing.py
+++ b/hillchute/partners/passing.py
@@ -21,7 +21,8 @@
 from hillchute.decision.interface import Time
 from hillchute.fronts.events import FIRST_GUEST
 from hillchute.history.slots import slot_of, weight
-from hillchute.partners.codec import MOST, Answer, Drop, Got, Pass, Took
+from hillchute.partners.codec import Answer, Drop, Got, Pass, Took
+from hillchute.peers.messages import MOST
 
 AGAIN: Time = 1_000  # after 0.1 s without a word a message goes again: some ways there and back
 SLOWEST = 4  # doublings of that time
@@ -177,8 +178,8 @@
             elif now >= errand.due:
                 self.out.append((errand.to, Drop(number, self.life)))
                 self.end(number, "killed", "no answer from its owner's router; it may have run")
-            elif now - errand.sent >= AGAIN << min(errand.tries, SLOWEST):
-                # Also where it was taken: its answer may be lost with a stream, and comes again for this.
+            elif now - errand.sent >= AGAIN << (SLOWEST if errand.took else min(errand.tries, SLOWEST)):
+                # Where it was taken, too, but seldom: Took may be of a message before the last.
                 self.send_errand(now, errand)
         for name, guest in list(self.guests.items()):
             if now - guest.due > KEPT:
--- a/hillchute/router/lines.py
+++ b/hillchute/router/lines.py
@@ -47,7 +47,7 @@
     legs: list[Leg] = field(default_factory=list)
     answered: bool = False
     rows: words.Rows | None = None  # for the answer history, if it was claimed
-    claim: str = ""  # its standing in the answer history: asked, granted, passed on; none without one
+    claim: str = ""  # its standing in the answer history: asked, granted, passed on or back; none without one
 
 
 @dataclass(slots=True, eq=False)
--- a/hillchute/router/partnering.py
+++ b/hillchute/router/partnering.py
@@ -19,26 +19,23 @@
 from hillchute.history.views import DRIFT, LEASE
 from hillchute.log import Log
 from hillchute.partners.agreement import Marker, Offer
-from hillchute.partners.codec import Have, Know, Pass, decode, encode
+from hillchute.partners.codec import Have, Know, Message, Pass, codec
 from hillchute.partners.council import Council
 from hillchute.partners.kept import MarksFile, key_in
 from hillchute.partners.marks import checker, signer
 from hillchute.partners.passing import Passing
 from hillchute.partners.pool import floor, homes
 from hillchute.peers.node import PARTNERS, Node
-from hillchute.peers.parts import Joiner
 from hillchute.peers.roster import DEAD
 from hillchute.router.reducer import place
+from hillchute.router.riding import LOGGED, Riding, rows_in, rows_out
 from hillchute.statements.request import Request
 
-LOGGED: Time = 50_000  # between two lines on the partners
 GROWS_AFTER: Time = int(LEASE * (1 + 2 * DRIFT)) + LENT  # by then all that have less by a new text use less
 VERDICTS = {"finished": "ANSWER", "deferred": "DEFER", "killed": "KILL"}
 
-rows_in, rows_out = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Rows)
 
-
-class Partnering:
+class Partnering(Riding):
     def __init__(
         self,
         settings: Mapping[str, object],
@@ -54,9 +51,10 @@
     ) -> None:
         """`judged` is told how queries ended that were passed on; `handle` is given events of those that came
         so; `soon` is told when there is something to be sent; `unix` is the reducer's clock."""
-        self.node, self.clock, self.log, self.catalog = node, clock, log, catalog
+        super().__init__(node, PARTNERS, codec)
+        self.clock, self.log, self.catalog = clock, log, catalog
         self.judged, self.handle, self.soon, self.unix = judged, handle, soon, unix
-        self.joiner, self.settings = Joiner(), settings
+        self.settings = settings
         self.file: MarksFile | None = None
         now = clock()
         about = settings["own"], routers_of(settings), checks_of(settings), seed, now
@@ -67,8 +65,8 @@
         self.views: Keeper | None = None  # whose views say which text holds
         self.logged = now
         self.told: set[tuple[str, str]] = set()  # faults that stand, and are in the log
+        self.homes: tuple[int, dict[str, int]] = (0, {})  # as of the council's revision
         self.say_offer()
-        node.riders[PARTNERS] = self
 
     def hand(self) -> Marker | None:
         """What marks for the own partner, on the one router that does."""
@@ -174,11 +172,7 @@
 
     # ---- a rider of the node --------------------------------------------------------------------------
 
-    def heard(self, now: Time, sender: str, piece: bytes) -> None:
-        whole = self.joiner.take(now, sender, piece)
-        if whole is None:
-            return
-        message = decode(whole, sender)
+    def take(self, now: Time, sender: str, message: Message) -> None:
         if isinstance(message, Have | Know):
             self.council.heard(now, sender, message)
         else:
@@ -193,16 +187,10 @@
             self.logged = now
             self.tell(now)
 
-    def out(self) -> list[tuple[str, bytes]]:
+    def said(self) -> list[tuple[str, Message]]:
         some = [*self.passing.out, *self.council.out]
         self.passing.out, self.council.out = [], []
-        said = []
-        for to, message in some:
-            try:
-                said.append((to, encode(message)))
-            except ValueError as fault:
-                self.node.dropped[f"partners not sent: {fault}"] += 1
-        return said
+        return some
 
     # ---- what partners bring ----------------------------------------------------------------------------
 
@@ -223,7 +211,9 @@
         now, council = self.clock(), self.council
         routers = council.routers
         whole = quotas.limits["pool"].whole
-        home = homes(whole, council.counted(now), routers).get(self.node.me, 0)
+        if self.homes[0] != council.revision:
+            self.homes = council.revision, homes(whole, council.counted(now), routers)
+        home = self.homes[1].get(self.node.me, 0)
         least = floor(whole, max(1, sum(map(len, routers.values()))))
         known = self.views is not None and self.views.views.in_force(now)
         confined = not (known and council.current() and council.holds(now))
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -198,8 +198,11 @@
         q = self.named(id, number)
         if q is None or q.answered or q.claim not in ("asked", "passed on"):
             return
+        if q.claim == "passed on" or verdict == "PASS":
+            q.claim = "passed back"  # it is over there, and the history hears that it is here
+        else:
+            q.claim = ""
         if verdict == "PASS" and q.session >= FIRST_GUEST:
-            self.desk.ask(Close(id, number, "freed", None))
             verdict, why = "DEFER", "its slot has another owner meanwhile"  # there is no second hop
         match verdict:
             case "RUN":
@@ -217,9 +220,6 @@
                 effect, how = Kill(q.session, why), "killed"
             case _:
                 effect, how = Defer(q.session, 0), "deferred"
-        if q.claim == "passed on":
-            self.desk.ask(Close(q.request.id, q.number, "freed", None))  # the next of its key has its turn
-        q.claim = ""
         self.answer(q, effect, how, f"history: {why}")
 
     def misfit(self, session: int, request: Request) -> str | None:
@@ -330,10 +330,7 @@
         if not q.claim:
             return
         if q.claim == "passed on":
-            q.claim = ""
             self.desk.ask(Recall(q.request.id, q.number))
-            self.desk.ask(Close(q.request.id, q.number, "freed", None))
-            return
         q.claim, results = "", {leg.result for leg in q.legs}
         how = "freed" if results <= NEVER_RAN else "finished" if "finished" in results else "killed"
         close = Close(q.request.id, q.number, how, q.rows)
--- a/hillchute/router/remembering.py
+++ b/hillchute/router/remembering.py
@@ -13,7 +13,7 @@
 from hillchute.engines.words import Rows
 from hillchute.errors import BookNotTaken, DiskNotUsable
 from hillchute.history import policy
-from hillchute.history.codec import decode, encode
+from hillchute.history.codec import Message, codec
 from hillchute.history.disk import Disk
 from hillchute.history.keeper import Keeper
 from hillchute.history.policy import MS, Book, Forget, Policy
@@ -22,15 +22,12 @@
 from hillchute.history.verdict import Verdict
 from hillchute.log import Log
 from hillchute.peers.node import HISTORY, Node
-from hillchute.peers.parts import Joiner
+from hillchute.router.riding import LOGGED, Riding, rows_in, rows_out
 
-LOGGED: Time = 50_000  # between two lines on the history
 STATES = {"freed": FREED, "finished": FINISHED, "killed": KILLED}
 
-rows_in, rows_out = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Rows)
 
-
-class Remembering:
+class Remembering(Riding):
     def __init__(
         self,
         settings: Mapping[str, object],
@@ -43,9 +40,9 @@
     ) -> None:
         """`judged` is told each verdict: the query's id and number, and what the verdict says. `soon` is told
         when there is something to be sent. `deeds`: where there are partners."""
-        self.node, self.clock, self.log, self.judged, self.soon = node, clock, log, judged, soon
+        self.clock, self.log, self.judged, self.soon = clock, log, judged, soon
         now = clock()
-        self.joiner = Joiner()
+        super().__init__(node, HISTORY, codec)
         self.disk = None
         if settings.get("disk"):
             try:
@@ -60,7 +57,6 @@
         self.numbers: dict[tuple[str, int], int] = {}  # the keeper's, of each of the reducer's
         self.queries: dict[int, tuple[str, int]] = {}
         self.logged = now
-        node.riders[HISTORY] = self
 
     # ---- the reducer's queries ----------------------------------------------------------------------
 
@@ -106,11 +102,9 @@
 
     # ---- a rider of the node ---------------------------------------------------------------------------
 
-    def heard(self, now: Time, sender: str, piece: bytes) -> None:
-        whole = self.joiner.take(now, sender, piece)
-        if whole is not None:
-            self.keeper.receive(now, sender, decode(whole, sender))
-            self.pass_on()
+    def take(self, now: Time, sender: str, message: Message) -> None:
+        self.keeper.receive(now, sender, message)
+        self.pass_on()
 
     def tick(self, now: Time) -> None:
         self.keeper.tick(now)
@@ -119,15 +113,9 @@
             self.logged = now
             self.tell(now)
 
-    def out(self) -> list[tuple[str, bytes]]:
+    def said(self) -> list[tuple[str, Message]]:
         out, self.keeper.out = self.keeper.out, []
-        said = []
-        for to, message in out:
-            try:
-                said.append((to, encode(message)))
-            except ValueError as fault:
-                self.node.dropped[f"history not sent: {fault}"] += 1
-        return said
+        return out
 
     # ---- log, reload, end -------------------------------------------------------------------------
 
--- /dev/null
+++ b/hillchute/router/riding.py
@@ -0,0 +1,43 @@
+"""What a rider of the peers' node does with bytes, whatever it has to say: pieces to messages and back.
+
+Owns that, and results as bytes. Must never know what a message is for.
+"""
+
+import msgspec
+
+from hillchute.decision.interface import Time
+from hillchute.engines.words import Rows
+from hillchute.peers.messages import Codec
+from hillchute.peers.node import Node
+from hillchute.peers.parts import Joiner
+
+LOGGED: Time = 50_000  # between two lines on a rider
+
+rows_in, rows_out = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Rows)
+
+
+class Riding:
+    def __init__(self, node: Node, kind: int, codec: Codec) -> None:
+        self.node, self.codec, self.joiner = node, codec, Joiner()
+        node.riders[kind] = self
+
+    def take(self, now: Time, sender: str, message: object) -> None:
+        raise NotImplementedError
+
+    def said(self) -> list[tuple[str, object]]:
+        """What waits to go, and waits no more."""
+        raise NotImplementedError
+
+    def heard(self, now: Time, sender: str, piece: bytes) -> None:
+        whole = self.joiner.take(now, sender, piece)
+        if whole is not None:
+            self.take(now, sender, self.codec.decode(whole, sender))
+
+    def out(self) -> list[tuple[str, bytes]]:
+        out = []
+        for to, message in self.said():
+            try:
+                out.append((to, self.codec.encode(message)))
+            except ValueError as fault:
+                self.node.dropped[f"{self.codec.whose} not sent: {fault}"] += 1
+        return out
--- a/hillchute/router/telling.py
+++ b/hillchute/router/telling.py
@@ -154,7 +154,7 @@
         if self.partnering is not None:
             self.partnering.pool(quotas)
             cores = sum(e.able(now) for e in module.engines.values() if e.ready)
-            rate = self.work.work / max(1, min(TRAFFIC_SPAN, now - self.work.began))
+            rate = self.work.rate(now, TRAFFIC_SPAN)
             quotas.asked("pool", int(WHOLE * min(1.0, rate / cores)) if cores else 0)
         if "cold" in quotas.limits:
             able = sum(e.able(now) for e in self.warming(now))
--- a/tests/test_council.py
+++ b/tests/test_council.py
@@ -13,7 +13,7 @@
 from hillchute.history.verdict import Verdict
 from hillchute.lab.partners_net import EPOCH, SECOND, private, public
 from hillchute.partners import codec
-from hillchute.partners.agreement import TEXTS, WHOLE, Mark, Marker, Offer, Text, digest, settle
+from hillchute.partners.agreement import TEXTS, WHOLE, Mark, Marker, Offer, Text, digest, settle, words
 from hillchute.partners.council import BEAT, Council
 from hillchute.partners.handover import follows, leads
 from hillchute.partners.kept import MarksFile
@@ -253,7 +253,7 @@
     fleet = Round()
     text = fleet.agreed()
     other = settle([offer(n, want=w) for n, w in (("a", 8000), ("b", 1000), ("c", 1000))], 1)
-    false = Mark("a", 1, digest(other), signer(private("a"))(digest(other)))
+    false = Mark("a", 1, digest(other), signer(private("a"))(words(Text, 1, digest(other))))
     fleet.councils["c1"].ledger.hear_mark(false)
     fleet.play()
     for council in fleet.councils.values():
@@ -262,6 +262,26 @@
         assert set(council.owners) == {"b", "c"}
 
 
+def test_marks_that_a_partner_gave_are_no_proof_against_it():
+    """A router that lies has all of them: an offer's and a text's of one number, a later text's with its
+    number changed."""
+    fleet = Round()
+    fleet.agreed()
+    fleet.offer("a", want=6000, turn=2)
+    fleet.play()
+    ledger = fleet.councils["b1"].ledger
+    by_text = sorted((m["a"] for m in ledger.marks.values() if "a" in m), key=lambda mark: mark.number)
+    first, second = by_text
+    offers = hand("a").offer(offer("a", want=3000))
+    assert first.number == offers.number == 1
+    assert not ledger.hear_two(first, offers) and not ledger.hear_two(offers, first)
+    assert not ledger.hear_two(first, msgspec.structs.replace(second, number=1))
+    assert not ledger.hear_mark(msgspec.structs.replace(offers, number=1))
+    fresh = Round().councils["b0"].ledger
+    assert not fresh.hear_mark(msgspec.structs.replace(second, number=1)) and fresh.hear_mark(second)
+    assert not ledger.two_texts and not fresh.two_texts
+
+
 def test_partner_that_leaves_has_its_part_until_its_notice_is_over():
     fleet = Round()
     fleet.agreed()
@@ -293,7 +313,7 @@
     sign = signer(private("c"))
     for n in range(3 * TEXTS):
         sealed = bytes([n]) * 32
-        assert ledger.hear_mark(Mark("c", 100 + n, sealed, sign(sealed)))
+        assert ledger.hear_mark(Mark("c", 100 + n, sealed, sign(words(Text, 100 + n, sealed))))
     for n in range(3 * TEXTS):
         ledger.hear(msgspec.structs.replace(fleet.councils["a0"].text(), number=500 + n))
     assert len(ledger.marks) <= TEXTS + 1 and len(ledger.texts) <= TEXTS + 1
@@ -446,6 +466,27 @@
     assert fleet.councils["b0"].text().number == 2 and not fleet.councils["a0"].ledger.two_texts
 
 
+def test_second_text_for_a_number_is_not_marked_though_the_file_forgot_the_first():
+    fleet = Round()
+    first = fleet.agreed()
+    fleet.offer("a", want=5000, turn=2)
+    fleet.play(living=[n for n in fleet.councils if n[0] != "c"])  # a and b have marked it, c is silent
+    fleet.files["b"].clear()
+    fleet.start("b", "b0")
+    fleet.play(4, living=["a1", "b0", "b1"])
+    council = fleet.councils["b0"]
+    council.offer(fleet.now, offer("b"))
+    changed = offer("a", want=6000, turn=3)
+    council.ledger.hear_offer(changed, hand("a").offer(changed))
+    other = settle(council.offers(), 2, first)
+    false = Mark("a", 2, digest(other), signer(private("a"))(words(Text, 2, digest(other))))
+    council.ledger.hear_mark(false)
+    council.ledger.hear(other)
+    council.look(fleet.now)
+    assert sum("b" in m for m in council.ledger.marks.values() if any(x.number == 2 for x in m.values())) == 1
+    assert "b" not in council.ledger.two_texts and council.refused[2].what
+
+
 # ---- shares of the pool ----
 
 
--- a/tests/test_partnering.py
+++ b/tests/test_partnering.py
@@ -5,19 +5,19 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hillchute.accord.quotas import LENT, Quotas
+from hillchute.accord.quotas import LENT
 from hillchute.cli import commands
 from hillchute.decision.interface import Listing
 from hillchute.decision.teamwork import SECOND, Teamwork
 from hillchute.fronts.events import FIRST_GUEST
+from hillchute.lab import partners
 from hillchute.lab.history_net import EPOCH
 from hillchute.lab.partners_net import private, public
 from hillchute.operator import reading
 from hillchute.operator.records import BadRecord
-from hillchute.partners.pool import floor, homes
 from hillchute.peers.node import Node
 from hillchute.router import events
-from hillchute.router.partnering import GROWS_AFTER, Partnering
+from hillchute.router.partnering import Partnering
 from hillchute.router.reducer import Reducer, place
 from hillchute.statements.request import Request
 
@@ -257,41 +257,13 @@
 WHOLE = 1_000_000
 
 
-class Pool:
+class Pool(partners.Pool):
     def __init__(self, shares):
-        self.now, self.shares = 0, shares
-        self.quotas = {n: Quotas(n, EVERYBODY, {"pool": WHOLE}, 1, 0) for n in EVERYBODY}
-        self.confined = set()
-        self.told_of = dict.fromkeys(EVERYBODY, shares)
-        self.wants = dict.fromkeys(EVERYBODY, 0)
-        self.tell()
-
-    def tell(self):
-        for name, quotas in self.quotas.items():
-            home = homes(WHOLE, self.told_of[name], ROUTERS)[name]
-            ours, least = ROUTERS[name[0]], floor(WHOLE, len(EVERYBODY))
-            quotas.told(self.now, "pool", home, least, ours, GROWS_AFTER, name in self.confined)
-
-    def play(self, seconds):
-        for _ in range(int(seconds * 5)):
-            self.now += SECOND // 5
-            self.tell()
-            for name, quotas in self.quotas.items():
-                quotas.asked("pool", self.wants[name])
-                for other in self.quotas.values():
-                    if other is not quotas:
-                        other.heard(self.now, name, quotas.wants(self.now))
-            words = [(n, w) for n, q in self.quotas.items() for w in q.tick(self.now, EVERYBODY)]
-            for name, word in words:
-                for back in self.quotas[word.to].asks(self.now, name, word.limit, word.what):
-                    self.quotas[name].granted(self.now, word.to, back.limit, back.what)
-            assert sum(self.used(name) for name in EVERYBODY) <= WHOLE
-
-    def used(self, name):
-        return self.quotas[name].usable("pool", self.now)
-
-    def of(self, partner):
-        return sum(self.used(name) for name in ROUTERS[partner])
+        super().__init__(shares, ROUTERS)
+
+    def step(self):
+        super().step()
+        assert sum(self.may_use(name) for name in EVERYBODY) <= WHOLE
 
 
 def test_each_has_its_share_while_all_want_theirs_and_borrows_what_others_do_not_want():
@@ -302,7 +274,7 @@
     pool.wants |= {"a0": 100_000, "a1": 100_000}
     pool.play(20)
     lent = pool.of("b")
-    assert lent > 0.5 * WHOLE and pool.used("a0") >= 100_000
+    assert lent > 0.5 * WHOLE and pool.may_use("a0") >= 100_000
     pool.wants |= {"a0": WHOLE, "a1": WHOLE}
     pool.play(1 + LENT / SECOND + 1)  # what was lent is back within a loan's time and an ask's
     assert pool.of("a") / WHOLE > 0.68
--- a/tests/test_partners.py
+++ b/tests/test_partners.py
@@ -10,7 +10,19 @@
 
 from hillchute.errors import TextNotTaken
 from hillchute.history.slots import SLOTS
-from hillchute.partners.agreement import WHOLE, Ledger, Mark, Marker, Offer, digest, settle, unfit
+from hillchute.lab.partners import least_moves
+from hillchute.partners.agreement import (
+    WHOLE,
+    Ledger,
+    Mark,
+    Marker,
+    Offer,
+    Text,
+    digest,
+    settle,
+    unfit,
+    words,
+)
 from hillchute.partners.marks import checker, signer
 from hillchute.partners.split import moves, split, split_by_work
 
@@ -26,17 +38,6 @@
     return tuple(chance.choices(names, weights, k=SLOTS))
 
 
-def least_moves(held, shares):
-    """By the rule of it: whoever gets less than before gives, and each given or unheld slot moves once. The
-    rounding is tried in all ways that keep each within one slot of its exact part."""
-    total = sum(shares.values())
-    floors = {n: SLOTS * s // total for n, s in shares.items()}
-    over = SLOTS - sum(floors.values())
-    kept = sum(min(held.count(n), floors[n]) for n in shares)
-    gain = sum(1 for n in shares if SLOTS * shares[n] % total and held.count(n) > floors[n])
-    return SLOTS - kept - min(over, gain)
-
-
 @settings(max_examples=150, deadline=None)
 @given(seeds, shares.filter(lambda s: sum(s.values())))
 def test_split_is_within_one_slot_of_exact_with_the_fewest_moves(seed, shares):
@@ -267,7 +268,7 @@
     hand = signer(bytes([1]) * 32)
     other = settle([offer("a", want=8000, least=8000), offer("b"), offer("c")], 1)
     ledger.hear(other)
-    ledger.hear_mark(Mark("a", 1, digest(other), hand(digest(other))))
+    ledger.hear_mark(Mark("a", 1, digest(other), hand(words(Text, 1, digest(other)))))
     assert ledger.in_force(1) == text
     assert ledger.shares(1)["a"] == 0 and ledger.shares(1)["b"] == text.shares["b"]
 
--- a/tests/test_partners_mutants.py
+++ b/tests/test_partners_mutants.py
@@ -11,7 +11,7 @@
 from hillchute.lab.history_mutants import drawn, mutant, paths
 from hillchute.lab.partners_mutants import KINDS, MAY_BE, Net
 from hillchute.partners import codec, council
-from hillchute.partners.agreement import Ledger, Mark
+from hillchute.partners.agreement import Ledger, Mark, Offer
 from hillchute.partners.passing import Passing
 
 
@@ -54,7 +54,7 @@
     return False
 
 
-def anybodys(self, mark):
+def anybodys(self, kind, mark):
     return mark.partner in self.partners
 
 
@@ -65,7 +65,7 @@
 
 
 def any_turn(self, offer, mark):
-    if self.signed(mark):
+    if self.signed(Offer, mark):
         self.offers[offer.partner] = offer, mark
     return True
 
