Slow start by permits: a burst after a quiet time no longer passes the budget

Cause: draw_lot divided the share by this router's rate over the last 10 s, which is near 0 after a quiet time, so that nearly every query drew a lot until the mean had caught up. Ruled out: restarts alone (their rate is high at first), fleets of another size than the settings say, retries.

What is sent does not depend on traffic measured before. Odds of breaking the budget in one window: under 1e-6 from N = 1 up, for half to twice as many routers as the settings say (test_odds_of_breaking...).

--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -95,7 +95,8 @@
     legs: list[Submission] = field(default_factory=list)
     ran: Submission | None = None  # the first submission that may have run
     errors: int = 0
-    lot: EngineId | None = None  # the cold engine that is open to it
+    lot: EngineId | None = None  # the recovering engine that is open to it
+    lot_at: Time = 0  # when that was drawn: it does not stand for ever
     drawn: EngineId | None = None  # the engine that is looked at before it is sent there
     drawn_at: Time = 0
     crowded: int = 0  # engines that it looked at and passed over
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -10,6 +10,7 @@
 from itertools import accumulate
 from zlib import crc32
 
+from hillchute.decision.slow_start import SlowStart
 from hillchute.decision.state import Engine, Lane, Light, Query, ResourceGroup, Sample, Submission, Traffic
 
 SECOND = 10_000
@@ -52,7 +53,6 @@
 SPARE = 0.2  # share of the sessions: with fewer free, those who wait outside count more than those inside
 DEAR = 2.0  # times the mean time for its value, over one, that a query may hold one then; less as they end
 MOST_LATE = 100 * MILLISECOND  # queries read so late: the margin that answers have at the least
-COLD_SHARE = 0.7  # of what a cold engine can do, sent by all routers: what a warm one bears well
 COLD_GRAINS = 16  # queries at the least that tip a cold engine: few heavy ones must not by chance
 STEEP = 3  # at half that pressure eight times the mean still gets in, at twice an eighth of it
 
@@ -74,6 +74,7 @@
         cores = catalog.get("domain.kind_cores", 1)
         tips = multiple * cold_from * span * (min(cores) if isinstance(cores, list) else cores)
         self.light = Light(tips / COLD_GRAINS, now)
+        self.slow_start = SlowStart(span, self.chance)
         shortest = min((g.target for g in self.groups if not g.is_load), default=0)
         self.dashboards = {g.number for g in self.groups if g.target == shortest and not g.is_load}
         self.queries: dict[str, Query] = {}
@@ -112,6 +113,7 @@
         for e in [e for e in self.engines.values() if mode != "Partial" and e.id not in listed]:
             e.ready, e.gone = False, True
         self.engines = {n: e for n, e in self.engines.items() if e.out or not e.gone}  # new ids come all day
+        self.slow_start.listed(self.engines)
         if self.places.keys() != self.engines.keys():
             self.places = Engine.places(self.engines)
 
@@ -151,7 +153,7 @@
     def line_up(self, q, front=False):
         q.line, q.place = (self.dash, "dash") if q.group.number in self.dashboards else (self.queue, "queue")
         q.line.appendleft(q) if front else q.line.append(q)
-        q.lot = self.draw_lot(q)
+        self.draw_lot(q)
         self.look(q, self.now)
         self.look(q, self.latest_start(q))
 
@@ -306,25 +308,23 @@
             first = self.engines.get(q.ran.engine)
             if first is None or e.zone != first.zone or (g.repeats == "cell" and e.cell != first.cell):
                 return False
-        return not e.cold(self.now) or q.lot == e.id
+        return not e.cold(self.now) or (q.lot == e.id and self.slow_start.stands(self.now, q.lot_at))
 
     def calm(self, e):
         return self.crowd(e) <= KNEE * e.able(self.now)
 
     def draw_lot(self, q):
-        """Rule 4: the one cold engine, if any, that is open to a query, by chance each time it lines up.
+        """Rule 4: the one recovering engine, if any, that is open to a query, drawn each time it lines up.
 
-        Guards a cold engine against the sum of routers, each of which sends its part of what the engine can
-        do, in the mean: also when all learn of it at once, restart, or have a part of less than a query."""
+        Guards such an engine against the sum of routers, also when all learn of it at once, restart, see a
+        burst after a quiet time, or have a part of less than a query: slow_start.py."""
+        q.lot, q.lot_at = None, self.now
         if q.work > self.light.most:
-            return None
+            return
+        self.light.add(self.now, q.work, TRAFFIC_SPAN)
+        self.slow_start.seen(q.work)
         cold = [e for e in self.engines.values() if e.ready and e.cold(self.now) and self.parts.get(e.id, 1)]
-        mine = self.light.add(self.now, q.work, TRAFFIC_SPAN) / self.parts.get("cold", 1 / self.routers)
-        if not cold:
-            return None
-        marks = list(accumulate(COLD_SHARE * e.able(self.now) / mine for e in cold))
-        n = bisect(marks, self.chance() * max(1.0, marks[-1]))
-        return cold[n].id if n < len(cold) else None
+        q.lot = self.slow_start.draw(self.now, cold, q.work, self.parts.get("cold", 1 / self.routers))
 
     def since(self, e):
         return e.since(max(e.reported_at - LAG, self.now - PRESSED))
@@ -541,6 +541,8 @@
         """Engines that may take it and are fit; a query that waits for loads keeps off their tables."""
         if q.legs and not self.may_run_again(q):
             return []
+        if q.lot is not None and not self.slow_start.stands(self.now, q.lot_at):
+            self.draw_lot(q)
         engines = [e for e in self.engines.values() if self.now >= e.rest_until and self.fits(e, q)]
         if q.group.waits or q.group.is_load:
             engines = self.side(engines, q)
--- a/hillchute/lab/many.py
+++ b/hillchute/lab/many.py
@@ -24,7 +24,8 @@
 from hillchute.accord.company import WHOLE, Company
 from hillchute.accord.subsets import Sight
 from hillchute.decision.interface import Listing, Time
-from hillchute.decision.teamwork import COLD_SHARE, SECOND, TRAFFIC_SPAN, Teamwork
+from hillchute.decision.slow_start import COLD_SHARE
+from hillchute.decision.teamwork import SECOND, TRAFFIC_SPAN, Teamwork
 from hillchute.peers.node import Node
 from hillchute.peers.roster import ALIVE
 
--- a/hillchute/router/telling.py
+++ b/hillchute/router/telling.py
@@ -9,8 +9,9 @@
 
 from hillchute.accord.company import WHOLE, Company
 from hillchute.decision.interface import Decision, EngineId, Listing, QueryId, Report, Time
+from hillchute.decision.slow_start import COLD_SHARE
 from hillchute.decision.state import Engine, Light
-from hillchute.decision.teamwork import COLD_SHARE, SECOND, TRAFFIC_SPAN, Teamwork
+from hillchute.decision.teamwork import SECOND, TRAFFIC_SPAN, Teamwork
 
 
 class Telling:
--- /dev/null
+++ b/tests/test_slow_start.py
@@ -0,0 +1,155 @@
+"""Slow start: what all routers together send a recovering engine, by calculation and by simulation."""
+
+import random
+from math import ceil, exp, lgamma, log, sqrt
+
+import pytest
+from conftest import CATALOG, LOOKUP
+
+from hillchute.decision.interface import Listing
+from hillchute.decision.slow_start import COLD_SHARE, SlowStart
+from hillchute.decision.teamwork import COLD_GRAINS, SECOND, Teamwork
+
+FALL = CATALOG["guarantees.fall"]
+MULTIPLE = CATALOG["guarantees.tip_multiple"]
+COLD_FROM = CATALOG["guarantees.cold_from"]
+CORES = CATALOG["domain.kind_cores"]
+ODDS = 1e-6  # of breaking the budget in one window, for one engine that starts
+LIVING = [0.5, 1.0, 2.0]  # times as many routers living as the settings say
+
+
+def budget(allowed):
+    """Calls that an engine may get in one window, where the settings allow so many."""
+    return allowed + (3 * sqrt(allowed) + 3 if allowed < 30 else 2 * sqrt(allowed) + 2)
+
+
+def tail(mean, most):
+    """The chance that a Poisson count is over `most`: the sum of many routers that each draw by chance."""
+    first = int(most) + 1
+    term = exp(first * log(mean) - mean - lgamma(first + 1))
+    total, n = 0.0, first
+    while term > 1e-30:
+        total += term
+        n += 1
+        term *= mean / n
+    return total
+
+
+def share_sent(allowed, living):
+    """Calls that all routers send it in a window in the mean: COLD_SHARE of what it can do, where the
+    budget is MULTIPLE of that."""
+    return allowed * COLD_SHARE / MULTIPLE * living
+
+
+@pytest.mark.parametrize("living", LIVING)
+@pytest.mark.parametrize("allowed", [1, 2, 3, 5, 8, 13, 21, 29, 30, 31, 50, 100, 300, 1_000, 10_000])
+def test_odds_of_breaking_the_budget_do_not_depend_on_the_fleet_and_are_below_one_in_a_million(
+    allowed, living
+):
+    assert tail(share_sent(allowed, living), budget(allowed)) < ODDS
+
+
+def test_calculation_would_find_a_share_that_is_too_large():
+    assert tail(share_sent(30, MULTIPLE / COLD_SHARE), budget(30)) > ODDS
+
+
+class Fleet:
+    """Routers that know nothing of each other, and engines that all start in one instant."""
+
+    def __init__(self, routers, told, engines, allowed, seed):
+        self.chance = random.Random(seed)
+        self.work = max(1, int(MULTIPLE * COLD_FROM * FALL * CORES / allowed))
+        self.told, self.engines = told, engines
+        self.at = 10 * SECOND
+        self.routers = [self.start(n, 0) for n in range(routers)]
+        self.sent = {engine: [] for engine in range(1, engines + 1)}
+        self.queries = 0
+
+    def start(self, number, now):
+        catalog = CATALOG | {"n_instances": self.told, "me": number}
+        router = Teamwork(self.chance.randrange(2**32), catalog, now)
+        listings = [Listing(e, 0, 0, 0, self.at, "Ready", 1.0) for e in range(1, self.engines + 1)]
+        router.roster(now, "Complete", listings)
+        return router
+
+    def take(self, number, now):
+        """One query is taken; if a cold engine is drawn for it, it is sent there, and is tried again once."""
+        router = self.routers[number]
+        self.queries += 1
+        name = f"{number}-{self.queries}"
+        router.take(now, name, LOOKUP, now + 7 * SECOND, cost=self.work)
+        while (decision := router.decide(now)) is not None:
+            if decision[0] == "submit":
+                self.sent[decision[2]].append(now)
+                # It comes back at once, as from a full engine: a retry must count like a query.
+                router.outcome(
+                    now, decision[1], len(router.queries[decision[1]].legs) - 1, "saturated", False, 1
+                )
+
+    def play(self, length, rate, restart=False):
+        """`rate`: queries a second of one router."""
+        times = sorted(
+            (self.at + int(self.chance.uniform(0, length)), number)
+            for number in range(len(self.routers))
+            for _ in range(max(1, int(rate * length / SECOND)))
+        )
+        for now, number in times:
+            if restart and self.chance.random() < 0.02:
+                self.routers[number] = self.start(number, now)
+            self.take(number, now)
+
+    def most(self):
+        """The most that any engine got in any window."""
+        found = 0
+        for times in self.sent.values():
+            first = 0
+            for last, now in enumerate(times):
+                while now - times[first] > FALL:
+                    first += 1
+                found = max(found, last - first + 1)
+        return found
+
+
+@pytest.mark.parametrize("routers, rate", [(1, 200), (2, 100), (7, 40), (40, 10), (230, 3)])
+@pytest.mark.parametrize("allowed", [16, 29, 30, 100])
+@pytest.mark.parametrize("restart", [False, True], ids=["steady", "restarting"])
+def test_no_fleet_breaks_the_budget_with_engines_that_start_at_once(routers, rate, allowed, restart):
+    """An engine that may get fewer than COLD_GRAINS queries gets none of them: see Light.most."""
+    assert allowed >= COLD_GRAINS
+    fleet = Fleet(routers, routers, 5, allowed, seed=routers * 1000 + allowed)
+    fleet.play(4 * SECOND, rate, restart)
+    assert 0 < fleet.most() <= budget(allowed)
+
+
+@pytest.mark.parametrize("told", [20, 80])
+def test_no_fleet_of_another_size_than_the_settings_say_breaks_the_budget(told):
+    fleet = Fleet(40, told, 5, 30, seed=told)
+    fleet.play(4 * SECOND, 10, restart=True)
+    assert fleet.most() <= budget(30)
+
+
+def test_queries_that_wait_with_their_permits_are_not_sent_in_one_instant(make_desk):
+    """No engine has room for a while; then all that wait could go at once."""
+    desk = make_desk(n_instances=1)
+    desk.list(1, 2, 3, started=1)
+    for e in desk.router.engines.values():
+        e.rest_until = 4 * FALL
+    waiting = [desk.take(LOOKUP, now=1 + n * 100, cost=300, due=30 * SECOND) for n in range(4 * FALL // 100)]
+    desk.verbs(4 * FALL - 1)
+    drawn = sum(q.lot is not None for q in waiting)
+    may_go = [q for q in waiting if any(desk.router.fits(e, q) for e in desk.router.engines.values())]
+    assert drawn > 2 * len(may_go) > 0
+
+
+def test_queries_too_heavy_for_the_budget_are_not_sent_there_at_all():
+    for allowed in (1, 4, COLD_GRAINS - 1):
+        fleet = Fleet(3, 3, 2, allowed, seed=allowed)
+        fleet.play(4 * SECOND, 40)
+        assert fleet.most() == 0
+
+
+def test_simulation_finds_routers_that_do_not_part_the_budget(monkeypatch):
+    monkeypatch.setattr(SlowStart, "draw", lambda *about: 1)
+    fleet = Fleet(40, 40, 5, 30, seed=1)
+    fleet.play(4 * SECOND, 10)
+    assert fleet.most() > ceil(budget(30))
