--- a/hillchute/errors.py
+++ b/hillchute/errors.py
@@ -54,6 +54,15 @@
     )
 
 
+class UnknownKind(HillchuteError):
+    """The event bus lists an engine of a kind that the settings do not name; `where` is the engine. It
+    gets no queries."""
+
+    remedy = (
+        "name the kind under `settings.kinds` in the file that EDGE_CONFIG names, then start the router again"
+    )
+
+
 class DatagramDropped(HillchuteError):
     """A datagram between routers that can't be believed; `where` is the peer, if the mark was its own."""
 
--- a/hillchute/membership/follower.py
+++ b/hillchute/membership/follower.py
@@ -47,8 +47,9 @@
                     why = str(fault) or type(fault).__name__
                     told = fault.told if isinstance(fault, BusUnreadable) else {}
                     self.log.write("bus_lost", why=why, last=self.last(), **told)
-                if scope is not self.scopes[-1]:
-                    self.scopes.remove(scope)  # the event bus has moved: nothing more is told here
+                if scope is not self.scopes[-1]:  # the event bus has moved: nothing more is told here
+                    if scope in self.scopes:  # else a newer connection has let this one go as it broke
+                        self.scopes.remove(scope)
                     return
                 await anyio.sleep(self.wait(RETRY))
 
--- a/hillchute/router/lines.py
+++ b/hillchute/router/lines.py
@@ -73,6 +73,7 @@
     host: str
     port: int
     ready: bool
+    started: Time = 0
     lines: dict[int, Line] = field(default_factory=dict)
 
 
@@ -267,11 +268,13 @@
             ready = entry.listing.state == "Ready"
             peer = self.peers.get(engine)
             if peer is None:
-                self.peers[engine] = Peer(engine, entry.host, entry.port, ready)
+                self.peers[engine] = Peer(engine, entry.host, entry.port, ready, entry.listing.started)
                 continue
             peer.ready = ready
-            if (peer.host, peer.port) != (entry.host, entry.port):
-                peer.host, peer.port = entry.host, entry.port
+            # An engine that has started anew knows nothing of the connections to the process before.
+            anew = entry.listing.started > peer.started
+            if anew or (peer.host, peer.port) != (entry.host, entry.port):
+                peer.host, peer.port, peer.started = entry.host, entry.port, entry.listing.started
                 self.move(peer)
         if news.mode == "Complete":
             for engine, peer in self.peers.items():
@@ -288,7 +291,7 @@
         self.desk.note("roster", number=news.number, mode=news.mode, engines=states)
 
     def move(self, peer: Peer) -> None:
-        """The engine has a new address: what waits for the old one was never sent."""
+        """The engine is another process now: what waits for a connection to the old one was never sent."""
         for line in list(peer.lines.values()):
             if not line.up:
                 waiting, line.waiting = list(line.waiting), deque()
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -18,10 +18,11 @@
 import anyio.lowlevel
 
 from hillchute.accord import turns
+from hillchute.decision.interface import Listing
 from hillchute.decision.teamwork import Teamwork
 from hillchute.engines import words
 from hillchute.engines.line.links import Link, Links
-from hillchute.errors import BadConfiguration, HillchuteError
+from hillchute.errors import BadConfiguration, HillchuteError, UnknownKind
 from hillchute.fronts.events import FIRST_CALL, FIRST_GUEST
 from hillchute.fronts.mysql.door import Client, Door
 from hillchute.log import Log
@@ -49,6 +50,12 @@
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 
 
+def kinds_named(catalog: Mapping[str, object]) -> int:
+    """How many kinds of machine the settings name; one where they tell none apart."""
+    lists = (catalog.get(name) for name in ("kinds", "domain.kind_cores"))
+    return max((len(found) for found in lists if isinstance(found, list)), default=1)
+
+
 class Service:
     def __init__(
         self,
@@ -67,6 +74,7 @@
         self.lifecycle = lifecycle
         self.clock = clock = clock or Clock()
         self.start_times = StartTimes(clock)
+        self.kinds = kinds_named(station.catalog)
         self.poller = poller or Poller()
         self.rounds = Rounds()
         self.trace = Trace()
@@ -260,9 +268,20 @@
         for entry in news.entries:
             listing = entry.listing
             started = self.start_times.translate(listing.engine, listing.started)
-            entries.append(entry._replace(listing=listing._replace(started=started)))
+            listing = self.usable(listing._replace(started=started))
+            entries.append(entry._replace(listing=listing))
         self.handle(events.Told(news._replace(entries=tuple(entries))))
 
+    def usable(self, listing: Listing) -> Listing:
+        """An engine of a kind that the settings do not name is no place for any query."""
+        if listing.kind < self.kinds:
+            return listing
+        name = event_bus.engine_name(listing.engine)
+        fault = UnknownKind(f"kind {listing.kind} of {self.kinds}", name)
+        self.log.write("listing", **fault.told)
+        state = "Gone" if listing.state == "Gone" else "Terminating"
+        return listing._replace(kind=0, state=state)
+
     def dump(self, last: int) -> None:
         """Writes the trace's last events, with faults once a second at the most."""
         now = self.clock()
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -13,12 +13,14 @@
 from rounds_by_hand import Rig
 
 from hillchute import errors
+from hillchute.decision.interface import Listing
 from hillchute.errors import HillchuteError
 from hillchute.history.disk import Disk
 from hillchute.lab import deployment
 from hillchute.lab.faulty_system import Fault, FaultySystem
 from hillchute.lab.history_net import EPOCH
 from hillchute.membership import event_bus
+from hillchute.membership.event_bus import Entry, News
 from hillchute.operator import reading
 from hillchute.partners.agreement import Mark, settle
 from hillchute.partners.kept import MarksFile
@@ -148,6 +150,13 @@
     rig.close()
 
 
+def unknown_kind(log, tmp_path):
+    rig = Rig()
+    rig.service.log = log
+    rig.service.told(News(2, "Partial", (Entry(Listing(1, 9, 0, 0, 0, "Ready", 1.0), "127.0.0.1", 1),)))
+    rig.close()
+
+
 def partner_broke(log, tmp_path):
     text = f"""history: {{number: 2, default: {{}}}}
       peers: {{name: "a", listen: "127.0.0.1:1", others: []}}
@@ -170,6 +179,7 @@
         (errors.BookNotCurrent, book_not_current),
         (errors.DiskNotUsable, disk_in_the_log),
         (errors.AcceptPaused, accept_paused),
+        (errors.UnknownKind, unknown_kind),
     ],
 )
 def test_type_is_in_the_log_with_its_remedy(tmp_path, error, path):
@@ -197,13 +207,14 @@
     sources = "".join(file.read_text() for file in (ROOT / "hillchute").rglob("*.py"))
     assert all(f'"{name}"' in sources for name in environ)
     commands = {"hillchute check"}
+    platform = Path(config.__file__).read_text()  # it reads each key of the platform's file by its name
     for kind in kinds():
         if kind is HillchuteError:
             continue
         assert kind.remedy, kind
         for said in re.findall(r"`([^`]+)`", kind.remedy):
             known = said in names or said in commands or any(path.startswith(said) for path in names)
-            assert known or said in ("bus",), f"{kind.__name__}: {said}"
+            assert known or f'"{said}"' in platform, f"{kind.__name__}: {said}"
         for word in re.findall(r"\b[A-Z][A-Z_]{4,}\b", kind.remedy):
             assert word in environ or hasattr(signal, word), f"{kind.__name__}: {word}"
 
