--- a/hillchute/decision/slow_start.py
+++ b/hillchute/decision/slow_start.py
@@ -12,6 +12,8 @@
 """
 
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from math import ceil
 
 from hillchute.decision.interface import EngineId, Time
 from hillchute.decision.state import Engine
@@ -22,6 +24,15 @@
 DRAWN = 0.5  # windows for which a query that drew one may wait with it
 
 
+@dataclass(slots=True)
+class Credit:
+    """What one router may send one engine, in work; a permit stands while it is not below 0."""
+
+    started: Time  # the start of the engine that it is for
+    at: Time  # as of
+    work: float
+
+
 class SlowStart:
     """Permits of one router, by engine."""
 
@@ -29,41 +40,38 @@
         """`window`: over which the settings state the budget; `chance`: a new number from 0 to 1."""
         self.window, self.chance = window, chance
         self.mean = 0.0  # work of the queries that may use permits
-        # By engine: its start, and when the next permit stands.
-        self.next: dict[EngineId, tuple[Time, Time]] = {}
+        self.credits: dict[EngineId, Credit] = {}
 
     def seen(self, work: float) -> None:
         """A query that may use a permit has lined up."""
         self.mean += SMOOTH * (work - self.mean) if self.mean else work
 
     def draw(self, now: Time, engines: Iterable[Engine], work: float, part: float) -> EngineId | None:
-        """Uses the permit that has stood longest for this query, if there is one; `part` of the budget is
-        this router's."""
-        found, longest = None, now
+        """Uses a permit for this query, that of the engine with the most credit, if there is one; `part`
+        of the budget is this router's."""
+        found, most = None, 0.0
         for engine in engines:
-            at = self.permit_at(now, engine, part)
-            if at <= longest:
-                found, longest = engine, at
-        if found is None:
-            return None
-        self.next[found.id] = found.started, longest + self.spacing(now, found, work, part)
-        return found.id
-
-    def permit_at(self, now: Time, engine: Engine, part: float) -> Time:
-        """When the next permit of an engine stands; one that nobody used in time is gone."""
-        spacing = self.spacing(now, engine, self.mean, part)
-        started, at = self.next.get(engine.id, (None, now))
-        if started != engine.started:
-            at = now + 1 + int(self.chance() * spacing)
-        oldest = now - int(UNUSED * self.window)
-        if at < oldest:
-            at += -(-(oldest - at) // spacing) * spacing
-        self.next[engine.id] = engine.started, at
-        return at
-
-    def spacing(self, now: Time, engine: Engine, work: float, part: float) -> Time:
-        """The time in which this router's part of what the engine can do makes up for so much work."""
-        return max(1, round(work / (COLD_SHARE * engine.able(now) * part)))
+            credit = self.credit(now, engine, part)
+            if credit.work >= most:
+                found, most = engine.id, credit.work
+        if found is not None:
+            self.credits[found].work -= work
+        return found
+
+    def credit(self, now: Time, engine: Engine, part: float) -> Credit:
+        """As of now; a permit that nobody used in time is gone."""
+        credit = self.credits.get(engine.id)
+        if credit is None or credit.started != engine.started:
+            # The first permit comes at a moment by chance: a router with a part of less than one query has
+            # one in so many windows, and all together have their sum.
+            credit = self.credits[engine.id] = Credit(engine.started, now, -self.chance() * self.mean)
+        rate = COLD_SHARE * engine.able(now) * part
+        credit.work += rate * (now - credit.at)
+        credit.at = now
+        over = credit.work - rate * UNUSED * self.window
+        if over > 0:
+            credit.work -= ceil(over / self.mean) * self.mean
+        return credit
 
     def stands(self, now: Time, drawn: Time) -> bool:
         """Whether a query that drew a permit may still use it. Guards against queries that wait with
@@ -72,4 +80,4 @@
 
     def listed(self, engines: Iterable[EngineId]) -> None:
         """Only these are known any more."""
-        self.next = {engine: self.next[engine] for engine in engines if engine in self.next}
+        self.credits = {engine: self.credits[engine] for engine in engines if engine in self.credits}
--- a/hillchute/router/config.py
+++ b/hillchute/router/config.py
@@ -14,6 +14,7 @@
 from hillchute.catalog import flatten, translate
 from hillchute.errors import BadConfiguration, BusUnreadable
 from hillchute.membership import event_bus
+from hillchute.router.settings import check
 
 SECOND = 10_000  # tenths of a millisecond
 CLOSING = 3 * SECOND  # the protocol: a planned restart leaves the longest deadline, but no more than this
@@ -131,27 +132,9 @@
 
 
 def settings(table: Mapping[str, object]) -> dict[str, object]:
-    """The settings, checked as far as the router itself leans on them; the module has defaults for others."""
+    """The settings in our words, once they are checked."""
     nested = get(table, "settings", dict)
-    classes = get(nested, "classes", list)
-    if not classes:
-        raise bad("settings.classes", "empty")
-    for n, item in enumerate(classes):
-        here = f"settings.classes[{n}]"
-        if not isinstance(item, dict):
-            raise bad(here, "not an object")
-        for name, kind in (("name", str), ("goal_time_ns", int), ("deadline_ns", int), ("semantics", str)):
-            try:
-                get(item, name, kind)
-            except BadConfiguration as fault:
-                raise bad(f"{here}.{fault.where}", fault.what) from None
-        if item["semantics"] not in ("repeatable", "by_key", "once"):
-            raise bad(f"{here}.semantics", f"unknown: {item['semantics'][:40]!r}")
-    for path in ("limits.connect_timeout_ns", "limits.keepalive_ns"):
-        if get(table, f"settings.{path}", int) <= 0:
-            raise bad(f"settings.{path}", "not above 0")
-    if get(table, "settings.limits.streams_per_conn", int, 1) < 1:
-        raise bad("settings.limits.streams_per_conn", "not above 0")
+    check(nested)
     return translate(flatten(nested))
 
 
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -6,6 +6,7 @@
 when, what is deferred or killed, how long a submission may take. Times are whole tenths of a millisecond.
 """
 
+import sys
 from collections.abc import Callable, Mapping
 
 from hillchute.decision import teamwork as endings
@@ -59,7 +60,7 @@
         self.lines = Lines(self.desk, module, catalog, most_lines, self.send, self.leg_over)
         self.lateness = Lateness()
         self.groups = {str(catalog.get(f"groups.{n}.name")): n for n in range(catalog.get("groups.count", 0))}
-        self.open_cap = catalog.get("limits.open_cap", 0)
+        self.open_cap = catalog.get("limits.open_cap") or sys.maxsize  # none is stated, none holds
         self.tokened = {n for n in self.groups.values() if catalog.get(f"groups.{n}.effect") == "tokened"}
         effects = {n: catalog.get(f"groups.{n}.effect", "mutating") for n in self.groups.values()}
         self.mutating = {n for n, effect in effects.items() if effect == "mutating"}
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,222 @@
+"""Settings of other customers: absent and absurd ones are named, and whatever is sound is served by the
+rules."""
+
+import copy
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from rounds_by_hand import LOGIN, Rig, query
+
+from hillchute.errors import BadConfiguration
+from hillchute.fronts.mysql.packets import FAILED, REFUSED
+from hillchute.lab import deployment
+from hillchute.membership import event_bus
+from hillchute.membership.event_bus import FRAME, RECORD
+from hillchute.router import config
+
+MS = 10**6
+
+
+def changed(path, value):
+    """The toy deployment with one key of its settings changed, or taken out."""
+    table = copy.deepcopy(deployment.table())
+    item = table["settings"]
+    *before, last = path.replace("[", ".").replace("]", "").split(".")
+    for part in before:
+        item = item[int(part)] if part.isdigit() else item[part]
+    if value is None:
+        del item[last]
+    else:
+        item[last] = value
+    return table
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ("classes", []),
+        ("classes", None),
+        ("classes", {"name": "x"}),
+        ("classes[0].name", ""),
+        ("classes[0].name", None),
+        ("classes[0].name", "a=b"),
+        ("classes[1].name", "lookup"),
+        ("classes[0].deadline_ns", 0),
+        ("classes[0].deadline_ns", -5),
+        ("classes[0].deadline_ns", None),
+        ("classes[0].deadline_ns", 10**30),
+        ("classes[0].goal_time_ns", 0),
+        ("classes[0].goal_time_ns", "soon"),
+        ("classes[0].semantics", "sometimes"),
+        ("classes[0].semantics", None),
+        ("classes[2].group", "galaxy"),
+        ("classes[2].window_ns", -1),
+        ("classes[2].keep_order", "yes"),
+        ("classes[0].worth", -1.0),
+        ("classes[0].runs_on", [4]),
+        ("classes[0].runs_in", [4]),
+        ("kinds", "std"),
+        ("n_instances", 0),
+        ("n_instances", True),
+        ("limits.connect_timeout_ns", 0),
+        ("limits.connect_timeout_ns", None),
+        ("limits.keepalive_ns", 0),
+        ("limits.streams_per_conn", 0),
+        ("limits.most_tries", 0),
+        ("limits.open_cap", 0),
+        ("guarantees.cold_from", 0),
+        ("guarantees.cold_from", 1.5),
+        ("guarantees.fall_ns", -1),
+        ("domain.kind_cores", [0]),
+        ("domain.kind_cores", []),
+        ("domain.width_by_class", [1]),
+        ("domain.width_by_class", [1, 0, 2]),
+        ("domain", 5),
+        ("limits", "none"),
+    ],
+)
+def test_absent_or_absurd_setting_is_named_by_its_path(path, value):
+    with pytest.raises(BadConfiguration) as fault:
+        config.station(changed(path, value), {})
+    assert fault.value.where.startswith(f"settings.{path}") and fault.value.remedy
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ("limits.open_cap", None),
+        ("limits.most_tries", None),
+        ("limits.streams_per_conn", None),
+        ("n_instances", 5_000),
+        ("guarantees", {}),
+        ("domain", {}),
+        ("report", {}),
+        ("kinds", None),
+        ("dcs", None),
+        ("classes[0].worth", 0),
+        ("classes[2].window_ns", None),
+    ],
+)
+def test_setting_that_may_be_absent_or_extreme_is_served(path, value):
+    rig = Rig(table=changed(path, value))
+    try:
+        client = rig.client(LOGIN + query(1))
+        rig.until(lambda: client.answers())
+        assert client.answers() == ["served"]
+    finally:
+        rig.close()
+
+
+@pytest.mark.parametrize("effect", ["repeatable", "by_key", "once"])
+def test_classes_of_one_effect_only_are_served(effect):
+    table = deployment.table()
+    for kind in table["settings"]["classes"]:
+        kind["semantics"] = effect
+        kind.pop("keep_order", None)
+    rig = Rig(table=table)
+    try:
+        client = rig.client(LOGIN + query(1, nonce="01"))
+        rig.until(lambda: client.answers())
+        assert client.answers() == ["served"]
+    finally:
+        rig.close()
+
+
+@pytest.mark.parametrize("count", [1_024, 5_000])
+def test_list_of_more_than_a_thousand_engines_is_taken_whole(count):
+    body = b"".join(RECORD.pack(n, bytes((127, 0, 0, 1)), 9, 0, 0, 0, 0, 1000, 0) for n in range(count))
+    (news,) = event_bus.Decoder().feed(FRAME.pack(9 + len(body), 1, 1) + body)
+    rig = Rig()
+    rig.service.told(news._replace(number=2))
+    assert len(rig.service.reducer.module.engines) == count and not rig.log.faults()
+    rig.close()
+
+
+names = st.text(st.characters(codec="ascii", categories=["L", "N"], include_characters="-_."), min_size=1)
+classes = st.builds(
+    lambda name, deadline, goal, effect, order, worth, group, window: {
+        "name": name,
+        "deadline_ns": deadline * MS,
+        "goal_time_ns": max(1, int(deadline * goal)) * MS,
+        "aim_stretch": 1.5,
+        "semantics": effect,
+        "worth": worth,
+        "group": group,
+        "window_ns": window * MS,
+        **({"keep_order": True} if order else {}),
+    },
+    names,
+    st.integers(600, 30_000),
+    st.floats(0.01, 1),
+    st.sampled_from(["repeatable", "by_key", "once"]),
+    st.booleans(),
+    st.floats(0, 100),
+    st.sampled_from(["all", "zone", "cell"]),
+    st.integers(0, 60_000),
+)
+figures = st.fixed_dictionaries(
+    {
+        "classes": st.lists(classes, min_size=1, max_size=5, unique_by=lambda kind: kind["name"]),
+        "n_instances": st.integers(1, 2_000),
+        "kinds": st.lists(names, min_size=1, max_size=3),
+        "cores": st.integers(1, 256),
+        "tries": st.integers(1, 6),
+        "streams": st.integers(1, 200),
+        "look_back": st.integers(0, 20_000),
+        "cancel": st.booleans(),
+    }
+)
+
+
+def drawn_table(drawn):
+    table = deployment.table(sockets=128)
+    count, kinds = len(drawn["classes"]), len(drawn["kinds"])
+    table["settings"] |= {"classes": drawn["classes"], "n_instances": drawn["n_instances"]}
+    table["settings"]["kinds"] = drawn["kinds"]
+    table["settings"]["domain"] |= {
+        "kind_cores": [drawn["cores"]] * kinds,
+        "ram_of_kind_mb": [4096] * kinds,
+        "width_by_class": [1] * count,
+        "class_load": [False] * count,
+        "yields_to_loads": [False] * count,
+    }
+    table["settings"]["limits"] |= {
+        "most_tries": drawn["tries"],
+        "streams_per_conn": drawn["streams"],
+        "cancel": drawn["cancel"],
+    }
+    if drawn["look_back"]:
+        table["settings"]["guarantees"] |= {"look_back_ns": drawn["look_back"] * MS, "extra_share": 0.2}
+    return table
+
+
+@settings(max_examples=40, derandomize=True, deadline=None, suppress_health_check=list(HealthCheck))
+@given(figures)
+def test_short_day_by_the_rules_whatever_the_settings(drawn):
+    """Two queries of each class; the engine's first connection breaks under the first of them."""
+    rig = Rig(table=drawn_table(drawn))
+    try:
+        rig.serving = False
+        clients = {}
+        for n, kind in enumerate(drawn["classes"]):
+            patience = kind["deadline_ns"] // MS
+            for number in (2 * n + 1, 2 * n + 2):
+                about = {"patience": patience, "nonce": f"{number:02x}", "entity": "ab"}
+                clients[number] = kind, rig.client(LOGIN + query(number, kind["name"], **about))
+        rig.turn(20)
+        for talk in rig.talks:
+            talk.close()
+        broken = set(rig.wants)
+        rig.serving = True
+        rig.until(lambda: all(client.answers() for _, client in clients.values()))
+        for number, (kind, client) in clients.items():
+            (answer,) = client.answers()  # one final answer each
+            assert answer in ("served", REFUSED[0], FAILED[0])
+            tries = rig.wants.count(f"{number:016x}")
+            assert tries <= drawn["tries"]
+            if kind["semantics"] == "once" and f"{number:016x}" in broken:
+                assert tries == 1 and answer == FAILED[0]  # it may have run: neither again nor "try again"
+        assert not rig.log.faults()
+    finally:
+        rig.close()
