--- a/hillchute/accord/subsets.py
+++ b/hillchute/accord/subsets.py
@@ -11,6 +11,7 @@
 goes or comes moves one pair of each engine that it stood among the first of: SIZE in the mean.
 """
 
+from bisect import bisect_left, insort
 from collections.abc import Iterable
 
 SIZE = 10  # engines a router: enough that ill and crowded ones leave some; each is heard of every few queries
@@ -31,12 +32,6 @@
     return mixed(mixed(engine) + 0x9E3779B9 * (router + 1)) << 20 | router
 
 
-def rank(engine: int, router: int, routers: int) -> int:
-    """How many routers stand before this one in the order of an engine."""
-    own = place(engine, router)
-    return sum(place(engine, other) < own for other in range(routers))
-
-
 def first(engine: int, routers: int, width: int) -> tuple[int, ...]:
     """So many routers that stand first in the order of an engine."""
     return tuple(sorted(range(routers), key=lambda router: place(engine, router))[:width])
@@ -59,14 +54,35 @@
     return found
 
 
+class Rank:
+    """How many routers stand before this one in the order of an engine, counted only as far as is asked."""
+
+    __slots__ = ("engine", "own", "before", "next")
+
+    def __init__(self, engine: int, router: int) -> None:
+        self.engine, self.own = engine, place(engine, router)
+        self.before = 0  # of the routers below `next`
+        self.next = 0
+
+    def below(self, width: int, routers: int) -> bool:
+        """Whether fewer than `width` routers stand before this one."""
+        while self.before < width and self.next < routers:
+            self.before += place(self.engine, self.next) < self.own
+            self.next += 1
+        return self.before < width
+
+
 class Sight:
-    """What one router has in sight. It keeps its rank with each engine, which takes as long as there are
-    routers to work out, so that a change of the list costs no more than the engines that are new."""
+    """What one router has in sight. A change of the list costs no more than the engines that are new: their
+    order is kept sorted, and only those that this router may serve by its rank are looked at again."""
 
     def __init__(self, me: int, routers: int, size: int = SIZE) -> None:
         self.routers, self.size = max(1, routers), size
         self.me = me % self.routers  # guards against settings that number routers from one
-        self.ranks: dict[int, int] = {}
+        self.order: list[tuple[int, int]] = []  # the engines that are ready, as widths() orders them
+        self.ranks: dict[int, Rank] = {}  # of those
+        self.may: set[int] = set()  # engines that are this router's at `most` routers each
+        self.most = -1
         self.seen: frozenset[int] = frozenset()  # the engines it was last asked about, and its own of them
         self.own: frozenset[int] = frozenset()
 
@@ -75,11 +91,37 @@
         engines = frozenset(engines)
         if engines == self.seen:
             return self.own  # lists come all day, and say mostly the same
-        width = widths(engines, self.routers, self.size)
-        ranks, self.ranks = self.ranks, {}
-        for engine in width:
-            known = ranks.get(engine)
-            self.ranks[engine] = rank(engine, self.me, self.routers) if known is None else known
+        come, gone = engines - self.seen, self.seen - engines
         self.seen = engines
-        self.own = frozenset(engine for engine, served in width.items() if self.ranks[engine] < served)
+        for engine in gone:
+            del self.order[bisect_left(self.order, (mixed(engine), engine))]
+            del self.ranks[engine]
+            self.may.discard(engine)
+        for engine in come:
+            self.ranks[engine] = Rank(engine, self.me)
+        if len(come) > len(engines) // 4:
+            self.order = sorted((mixed(engine), engine) for engine in engines)
+        else:
+            for engine in come:
+                insort(self.order, (mixed(engine), engine))
+        self.own = self.mine(come)
         return self.own
+
+    def mine(self, come: Iterable[int]) -> frozenset[int]:
+        count = len(self.order)
+        if not count:
+            self.may, self.most = set(), -1
+            return frozenset()
+        each, more = divmod(self.routers * min(self.size, count), count)
+        again = self.ranks if each + 1 != self.most else come
+        self.most = each + 1
+        for engine in again:
+            if self.ranks[engine].below(self.most, self.routers):
+                self.may.add(engine)
+            else:
+                self.may.discard(engine)
+        return frozenset(engine for engine in self.may if self.serves(engine, each, more))
+
+    def serves(self, engine: int, each: int, more: int) -> bool:
+        at = bisect_left(self.order, (mixed(engine), engine))
+        return self.ranks[engine].below(each + (at < more), self.routers)
--- a/hillchute/decision/slow_start.py
+++ b/hillchute/decision/slow_start.py
@@ -78,6 +78,5 @@
         theirs and are all sent in one instant."""
         return now - drawn <= DRAWN * self.window
 
-    def listed(self, engines: Iterable[EngineId]) -> None:
-        """Only these are known any more."""
-        self.credits = {engine: self.credits[engine] for engine in engines if engine in self.credits}
+    def forget(self, engine: EngineId) -> None:
+        self.credits.pop(engine, None)
--- a/hillchute/decision/state.py
+++ b/hillchute/decision/state.py
@@ -1,8 +1,7 @@
 """What one router knows, grouped by how long it lives. Nothing here decides."""
 
-from bisect import bisect
+from bisect import bisect, bisect_left, insort
 from collections import Counter, deque
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from zlib import crc32
 
@@ -166,11 +165,6 @@
         self.ram = per_kind("domain.ram_of_kind_mb", 0.0)
         self.ready, self.gone = entry.state == "Ready", entry.state == "Gone"
 
-    @staticmethod
-    def places(engines: Iterable[EngineId]) -> dict[EngineId, int]:
-        """One order of engines by chance that all routers work out alike."""
-        return {n: place for place, n in enumerate(sorted(engines, key=lambda n: crc32(str(n).encode())))}
-
     def began(self, now: Time, q: Query, sub: Submission) -> None:
         q.legs.append(sub)
         self.out, self.threads, self.memory = (
@@ -206,6 +200,31 @@
         return min(self.fresh, self.threads), min(self.fresh_memory, self.memory)
 
 
+class Order:
+    """One order of engines by chance that all routers work out alike; a change moves no more than it must."""
+
+    def __init__(self) -> None:
+        self.line: list[tuple[int, EngineId]] = []
+        self.marks: dict[EngineId, tuple[int, EngineId]] = {}
+
+    def __len__(self) -> int:
+        return len(self.line)
+
+    def add(self, engine: EngineId) -> None:
+        if engine not in self.marks:
+            mark = self.marks[engine] = crc32(str(engine).encode()), engine
+            insort(self.line, mark)
+
+    def discard(self, engine: EngineId) -> None:
+        mark = self.marks.pop(engine, None)
+        if mark is not None:
+            del self.line[bisect_left(self.line, mark)]
+
+    def of(self, engine: EngineId) -> int:
+        """Its place, from 0."""
+        return bisect_left(self.line, self.marks[engine])
+
+
 @dataclass(slots=True)
 class Sample:
     """Submissions of late, and the median of the times that they took over their times alone."""
--- a/hillchute/decision/teamwork.py
+++ b/hillchute/decision/teamwork.py
@@ -11,7 +11,17 @@
 from zlib import crc32
 
 from hillchute.decision.slow_start import SlowStart
-from hillchute.decision.state import Engine, Lane, Light, Query, ResourceGroup, Sample, Submission, Traffic
+from hillchute.decision.state import (
+    Engine,
+    Lane,
+    Light,
+    Order,
+    Query,
+    ResourceGroup,
+    Sample,
+    Submission,
+    Traffic,
+)
 
 SECOND = 10_000
 MILLISECOND = 10
@@ -82,7 +92,8 @@
         self.lanes, self.stirred = defaultdict(Lane), {}  # and the keys whose lanes may have moved
         self.queue, self.dash = deque(), deque()  # waiting: teams to be, and dashboards with no engine
         self.behind = defaultdict(deque)  # table group: loads that wait for a load of it to end
-        self.places = {}  # engine: its place in an order by chance that all routers have alike
+        self.places = Order()  # of the engines, by chance, that all routers have alike
+        self.leaving, self.starting = {}, {}  # engines that are gone with something out; that may be cold
         self.home = {}  # table group: the engine that last ran it
         self.looks = []  # heap of (time, order, query id): look at this query again
         self.taken, self.extras, self.planned = Traffic(), deque(), deque()
@@ -112,10 +123,24 @@
                 e.started, e.fails, e.rest_until, e.reported = entry.started, 0, now, None
         for e in [e for e in self.engines.values() if mode != "Partial" and e.id not in listed]:
             e.ready, e.gone = False, True
-        self.engines = {n: e for n, e in self.engines.items() if e.out or not e.gone}  # new ids come all day
-        self.slow_start.listed(self.engines)
-        if self.places.keys() != self.engines.keys():
-            self.places = Engine.places(self.engines)
+            listed[e.id] = e
+        self.relist(listed)
+
+    def relist(self, listed):
+        """What follows from the engines that have changed, without a look at all the others."""
+        for e in listed.values():
+            if e.gone:
+                self.leaving[e.id] = e
+            else:
+                self.leaving.pop(e.id, None)
+                self.places.add(e.id)
+            if e.cold(self.now):
+                self.starting[e.id] = e
+        for e in [e for e in self.leaving.values() if not e.out]:  # new ids come all day
+            for known in (self.engines, self.leaving, self.starting):
+                known.pop(e.id, None)
+            self.places.discard(e.id)
+            self.slow_start.forget(e.id)
 
     def nearby(self, now, engines, routers=None, parts=None):
         self.now, self.near = now, engines
@@ -206,6 +231,7 @@
             self.blame(e)
             if result == "refused_conn":
                 e.started = max(e.started, self.now)  # it may come back cold before the roster says so
+                self.starting[e.id] = e
 
     def blame(self, e):
         """Guards against an engine that is down, or draws all by fast errors. A lone failure is free."""
@@ -323,7 +349,9 @@
             return
         self.light.add(self.now, q.work, TRAFFIC_SPAN)
         self.slow_start.seen(q.work)
-        cold = [e for e in self.engines.values() if e.ready and e.cold(self.now) and self.parts.get(e.id, 1)]
+        for e in [e for e in self.starting.values() if not e.cold(self.now)]:
+            del self.starting[e.id]
+        cold = [e for e in self.starting.values() if e.ready and self.parts.get(e.id, 1)]
         q.lot = self.slow_start.draw(self.now, cold, q.work, self.parts.get("cold", 1 / self.routers))
 
     def since(self, e):
@@ -374,21 +402,20 @@
         e = self.engines.get(q.drawn)
         return e and max(e.reported_at, e.failed_at) < q.drawn_at and self.now < q.drawn_at + LOOK
 
-    def choose(self, q, engines, home=None):
+    def choose(self, q, free, home=None):
         """The engine for a query, once enough is known of it; None while one is looked at, or all are full.
+        `free` tells whether an engine that may take it has room.
 
         Guards against drawing blind: of hundreds none is heard of in time, and a crowd or corpse draws on."""
         e, q.drawn = self.engines.get(q.drawn), None
+        silent = None
         if e and e.reported_at >= q.drawn_at:
-            if e in engines and self.calm(e):
+            if self.calm(e) and free(e) and e in self.engines_for(q):
                 return e
             q.crowded += 1
         elif e:  # no answer
-            engines = [other for other in engines if other is not e] or engines
-        # Guards against knowing little of all: a router of hundreds keeps to a few, and homes, while they do.
-        near = [e for e in engines if q.lot is None and (e.id in self.near or e is home)]
-        if len(near) < len(engines):
-            engines = [e for e in near if self.stale(e) or self.calm(e)] or engines
+            silent = e
+        engines = self.choice(q, free, home, silent)
         if not self.probes:
             return self.pick(q, engines, home)
         if q.crowded >= LOOKS and self.now - q.drawn_at < PROBE_EVERY:
@@ -403,6 +430,27 @@
             self.ask(e)
         return None
 
+    def choice(self, q, free, home, silent):
+        """The engines to draw from.
+
+        Guards against knowing little of all: a router of hundreds keeps to a few, and homes, while they do.
+        They are looked at first, so that a query does not cost more the more engines there are."""
+        sight = self.sight(q, home)
+        best = [e for e in sight if e is not silent and self.suits_best(e, q) and free(e)]
+        best = [e for e in best if self.stale(e) or self.calm(e)]
+        if best:
+            return best
+        engines = [e for e in self.engines_for(q) if free(e)]
+        engines = [e for e in engines if e is not silent] or engines
+        return [e for e in engines if e in sight and (self.stale(e) or self.calm(e))] or engines
+
+    def sight(self, q, home=None):
+        """The engines that a query looks at first: that of its permit, else those in sight and its home."""
+        if q.lot is not None:
+            return [e for e in (self.engines.get(q.lot),) if e]
+        near = [e for e in map(self.engines.get, self.near) if e]
+        return near if home is None or home.id in self.near else [*near, home]
+
     def stale(self, e):
         """Whether a look would tell more of it than what is believed."""
         return self.probes and self.now - e.reported_at > FADE
@@ -524,12 +572,9 @@
     def send_dashboards(self):
         """Dashboards skip the queue and the bound."""
         for q in self.dash:
-            engines = [] if self.looking(q) else self.engines_for(q)
-            if not engines:
+            if self.looking(q) or not self.may_go(q):
                 continue
-            # Guards against a jam kept up by clients' retries. Does harm where reports lag a load that went.
-            engines = [e for e in engines if self.crowd(e) < CROWD * FACTOR * e.able(self.now)]
-            if e := self.choose(q, engines):
+            if e := self.choose(q, self.uncrowded):
                 self.dash.remove(q)
                 self.submit(q, e)
             elif q.drawn is None:
@@ -537,6 +582,31 @@
             if self.planned:
                 return
 
+    def uncrowded(self, e):
+        """Guards against a jam kept up by clients' retries. Does harm where reports lag a load that went."""
+        return self.crowd(e) < CROWD * FACTOR * e.able(self.now)
+
+    def may_go(self, q):
+        """Whether any engine may take it and is fit."""
+        return any(self.suits_best(e, q) for e in self.sight(q)) or bool(self.engines_for(q))
+
+    def suits_best(self, e, q):
+        """Whether an engine is what engines_for() wants where it need not make do with less."""
+        if (q.legs and not self.may_run_again(q)) or self.now < e.rest_until or not self.fits(e, q):
+            return False
+        if q.legs and q.legs[-1].engine == e.id:
+            return False
+        if not (q.group.waits or q.group.is_load):
+            return True
+        return q.tables not in e.holds and self.on_side(e, q) and self.own_load_place(e, q)
+
+    def own_load_place(self, e, q):
+        half = (len(self.places) + 1) // 2
+        if not q.group.is_load or self.routers > half:
+            return True
+        place = self.place(e, q)
+        return place < half and place % self.routers == self.catalog.get("me", 0)
+
     def engines_for(self, q):
         """Engines that may take it and are fit; a query that waits for loads keeps off their tables."""
         if q.legs and not self.may_run_again(q):
@@ -570,7 +640,7 @@
 
     def place(self, e, q):
         """One order for all table groups, each beginning elsewhere in it: a change of the list moves few."""
-        return (self.places[e.id] + q.start) % len(self.places)
+        return (self.places.of(e.id) + q.start) % len(self.places)
 
     def on_side(self, e, q):
         loads = self.place(e, q) < (len(self.places) + 1) // 2
@@ -596,8 +666,8 @@
         leader = self.queue[0]
         # Guards against starving behind dashboards, which may fill an engine past its bound.
         more = CROWD if self.waited(leader) > 0.5 else 1
-        engines = [e for e in self.engines_for(leader) if self.room(e, leader, more)]
-        e = self.choose(leader, engines, self.engines.get(self.home.get(leader.tables)))
+        home = self.engines.get(self.home.get(leader.tables))
+        e = self.choose(leader, lambda e: self.room(e, leader, more), home)
         if e is None:
             return  # the leader waits for word of an engine, or for the next outcome
         team = [leader]
--- a/hillchute/lab/many.py
+++ b/hillchute/lab/many.py
@@ -323,18 +323,13 @@
 
 
 @lru_cache(maxsize=2048)
-def places(engine: int, routers: int) -> tuple[tuple[int, ...], tuple[int, ...]]:
-    """An engine's order of all routers, and where each stands in it."""
-    order = subsets.first(engine, routers, routers)
-    stands = [0] * routers
-    for n, router in enumerate(order):
-        stands[router] = n
-    return order, tuple(stands)
+def order(engine: int, routers: int) -> tuple[int, ...]:
+    """An engine's order of all routers."""
+    return subsets.first(engine, routers, routers)
 
 
 # What each router works out alone is worked out once for all that play here.
-subsets.rank = lambda engine, router, routers: places(engine, routers)[1][router]
-told_of.first = lambda engine, routers, width: places(engine, routers)[0][:width]
+told_of.first = lambda engine, routers, width: order(engine, routers)[:width]
 
 
 class Many(World):
--- a/hillchute/router/lines.py
+++ b/hillchute/router/lines.py
@@ -282,8 +282,9 @@
         self.module.roster(self.desk.now, news.mode, [entry.listing for entry in news.entries])
         ready = [engine for engine, known in self.module.engines.items() if known.ready]
         self.module.nearby(self.desk.now, self.sight.near(ready))
-        for engine, peer in list(self.peers.items()):
-            if engine not in self.module.engines:  # forgotten there: gone, with nothing out
+        forgotten = len(self.peers) != len(self.module.engines)
+        for engine, peer in list(self.peers.items()) if forgotten else ():
+            if engine not in self.module.engines:  # gone, with nothing out
                 for line in list(peer.lines.values()):
                     self.drop(line)
                 del self.peers[engine]
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -98,7 +98,8 @@
 
 def test_list_that_changes_costs_no_more_than_the_engines_that_are_new(monkeypatch):
     asked = []
-    monkeypatch.setattr(subsets, "rank", lambda engine, *_: asked.append(engine) or 0)
+    rank = subsets.Rank
+    monkeypatch.setattr(subsets, "Rank", lambda engine, me: asked.append(engine) or rank(engine, me))
     sight = Sight(0, 200)
     sight.near(range(80))
     asked.clear()
@@ -108,6 +109,17 @@
     assert len(asked) == 3 and len(sight.ranks) == 80  # those that are gone are forgotten
 
 
+@pytest.mark.parametrize("routers, many", [(1, 5), (3, 30), (40, 200), (200, 80), (230, 800)])
+def test_engines_in_sight_are_the_pairs_whatever_changes_came_before(routers, many):
+    chance = random.Random(routers)
+    sights = {me: Sight(me, routers) for me in {0, routers // 2, routers - 1}}
+    for _ in range(6):
+        engines = chance.sample(range(2 * many), chance.randint(0, many))
+        wanted = pairs(engines, routers)
+        for me, sight in sights.items():
+            assert sight.near(engines) == {engine for router, engine in wanted if router == me}
+
+
 # ---- turns ------------------------------------------------------------------------------------------
 
 
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,105 @@
+"""A router among sixteen times the engines looks at no more of them for a query, and decides as it would
+by all."""
+
+import random
+
+import pytest
+from conftest import CATALOG, LOAD, LOOKUP, REPORT
+
+from hillchute.accord.subsets import Sight
+from hillchute.decision.interface import Listing
+from hillchute.decision.teamwork import SECOND, Teamwork
+
+MORE_LOOKS = 1.2  # times as many engines looked at for a query, at sixteen times the engines
+EVERYWHERE = 2  # a query without a place among those in sight may look at all of them once or twice
+
+
+def listing(engine, state="Ready", started=0):
+    return Listing(engine, 0, engine // 4, engine % 3, started, state, 1.0)
+
+
+def among(engines, routers=200, **changed):
+    router = Teamwork(1, CATALOG | {"n_instances": routers} | changed, 0)
+    router.roster(0, "Complete", [listing(n) for n in range(engines)])
+    router.nearby(0, Sight(7, routers).near(range(engines)))
+    return router
+
+
+def looked_at(engines, monkeypatch):
+    """Engines that are looked at for a query, in the mean of some hundreds that are served at once."""
+    router, looks = among(engines), [0]
+    fits = Teamwork.fits
+
+    def counted(self, e, q):
+        looks[0] += 1
+        return fits(self, e, q)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(Teamwork, "fits", counted)
+        for n in range(300):
+            now = n * 500
+            router.take(now, f"q{n}", n % 2, now + 7 * SECOND, tables=n % 40, cost=2000)
+            while (decision := router.decide(now)) is not None:
+                if decision[0] == "submit":
+                    router.outcome(now, decision[1], 0, "finished", True, 100, cost=2000)
+    assert not router.queries
+    return looks[0] / 300
+
+
+@pytest.mark.parametrize("engines", [70, 200])
+def test_query_looks_at_as_many_engines_among_sixteen_times_as_many(engines, monkeypatch):
+    assert looked_at(16 * engines, monkeypatch) <= MORE_LOOKS * looked_at(engines, monkeypatch) + 1
+
+
+def test_change_of_the_list_looks_at_the_engines_that_changed(monkeypatch):
+    """A thousand changes among 3,200 engines: their order is not worked out anew."""
+    router = among(3_200)
+    sight = Sight(7, 200)
+    sight.near(range(3_200))
+    placed = []
+    add = type(router.places).add
+    monkeypatch.setattr(type(router.places), "add", lambda self, e: placed.append(e) or add(self, e))
+    ready = set(range(3_200))
+    for n in range(1_000):
+        gone, come = listing(n, "Gone"), listing(10_000 + n)
+        router.roster(n, "Partial", [gone, come])
+        ready = ready - {n} | {10_000 + n}
+        router.nearby(n, sight.near(ready))
+    assert len(placed) == 1_000 and len(router.engines) == len(router.places) == 3_200
+    assert {router.places.of(e) for e in router.engines} == set(range(3_200))
+
+
+def plainly(router, q, free, home, silent):
+    """The same choice as a rule over all engines, one after another."""
+    engines = [e for e in router.engines_for(q) if free(e)]
+    engines = [e for e in engines if e is not silent] or engines
+    wanted = {q.lot} if q.lot is not None else {*router.near, *([home.id] if home else [])}
+    near = [e for e in engines if e.id in wanted and (router.stale(e) or router.calm(e))]
+    return {e.id for e in near or engines}
+
+
+@pytest.mark.parametrize("seed", range(200))
+def test_choice_is_that_of_the_rule_over_all_engines(seed):
+    chance = random.Random(seed)
+    probes = {"report.via": "probe", "limits.probes": chance.random() < 0.5, "report.columns": ["inflight"]}
+    router = among(chance.choice([3, 12, 60]), chance.choice([1, 4, 200]), **probes)
+    router.now = 20 * SECOND
+    router.held = chance.uniform(0, 2)
+    for e in router.engines.values():
+        e.reported, e.reported_at = chance.uniform(0, 30), router.now - chance.randrange(3 * SECOND)
+        e.rest_until = router.now + 1 if chance.random() < 0.2 else 0
+        e.started = router.now - SECOND if chance.random() < 0.2 else 0
+        e.ready = chance.random() < 0.9
+        e.threads = chance.randrange(20)
+        e.holds = [chance.randrange(3)] if chance.random() < 0.3 else []
+    for n in range(20):
+        group = chance.choice([LOOKUP, REPORT, LOAD])
+        router.take(router.now, f"q{n}", group, router.now + 7 * SECOND, tables=chance.randrange(3), cost=500)
+        q = router.queries[f"q{n}"]
+        if chance.random() < 0.3:
+            q.lot, q.lot_at = chance.choice(list(router.engines)), router.now
+        engines = list(router.engines.values())
+        home, silent = (chance.choice([None, *engines]) for _ in range(2))
+        spare = {e.id for e in engines if chance.random() < 0.7}
+        about = q, lambda e, spare=spare: e.id in spare, home, silent
+        assert {e.id for e in router.choice(*about)} == plainly(router, *about)
