Crossings of two events, each forced by hand on real sockets

Deadlines of 1 to 400 ms, answers twice, late and unreadable, cancels, ends and connects that cross; 38 cases.

--- a/tests/rounds_by_hand.py
+++ b/tests/rounds_by_hand.py
@@ -171,6 +171,7 @@
         self.service.door.open(self.door)
         lifecycle.enter(Phase.SERVING)
         self.talks, self.wants, self.clients = [], [], []
+        self.fields = {}  # of each attempt that came to the engine
         self.serving = True
         self.list(1)
 
@@ -194,6 +195,7 @@
             for verb, words, statement in talk.commands():
                 if verb == "want":
                     self.wants.append(words[0])
+                    self.fields[words[0]] = dict(pair.split("=") for pair in words[1].split(","))
                     assert statement == SELECT.encode()
                     if self.serving:
                         with suppress(ConnectionError):
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,350 @@
+"""Pairs of events that cross in one round or on one connection: docs/architecture.md lists them by these
+tests.
+
+Each crossing is forced: both events are ready before the round that finds them, or one is written from
+within the step that it must hit.
+"""
+
+import errno
+
+import pytest
+from rounds_by_hand import LOGIN, MILLISECOND, SELECT, Rig, packet, query
+
+from hillchute.fronts import seats
+from hillchute.fronts.mysql.packets import FAILED, REFUSED
+from hillchute.lab import deployment
+from hillchute.lab.faulty_system import FaultySystem
+from hillchute.router import service
+
+KEYED = {"route": "event-load", "entity": "ab", "patience": 8_000}
+ANSWERS = {"served", REFUSED[0], FAILED[0]}
+ACK = "{id} ACK work=20.0,peak=1.0 8\r\na\tb\tccc\n\r\n"
+
+
+@pytest.fixture
+def rig():
+    rig = Rig(FaultySystem(), table=deployment.table(sockets=128, mutating=True))
+    yield rig
+    rig.close()
+
+
+def ids(*numbers):
+    return [f"{number:016x}" for number in numbers]
+
+
+def out(rig, number=1, **about):
+    """A query whose attempt is out; the engine says nothing until it is told to."""
+    client = rig.connected()
+    rig.serving = False
+    client.write(query(number, **about))
+    rig.until(lambda: rig.wants)
+    return client
+
+
+def go_past(rig, time):
+    rig.pass_time(max(0, time - rig.clock() + 1) / 10_000)
+
+
+# ---- deadlines --------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("patience", [1, 5, 20, 50, 120, 400])
+def test_query_with_little_time_left_is_answered_in_time_though_the_engine_drops_it(rig, patience):
+    client = rig.connected()
+    rig.serving = False
+    client.write(query(1, patience=patience))
+    rig.service.round()
+    asked = list(rig.service.reducer.asking.values())
+    for q in asked:
+        assert q.due <= q.taken + patience * MILLISECOND
+        go_past(rig, q.due)
+    rig.turn(2)
+    assert len(client.answers()) == 2 and client.answers()[1] in ANSWERS
+    for fields in rig.fields.values():
+        assert int(fields["ttl"]) <= max(3_000, patience)
+    if ids(1)[0] in rig.fields:
+        assert int(rig.fields[ids(1)[0]]["ttl"]) <= patience
+
+
+def test_engine_is_given_no_more_than_what_the_client_has_left_after_a_wait_for_its_turn(rig):
+    first = out(rig, 1, nonce="01", **KEYED)
+    second = rig.client(LOGIN + query(2, nonce="02", **KEYED))
+    rig.until(lambda: len(rig.service.reducer.asking) == 2)
+    rig.pass_time(0.6)  # behind the first of its key
+    rig.talks[0].serve(ids(1)[0])
+    rig.until(lambda: len(rig.wants) == 2)
+    assert int(rig.fields[ids(2)[0]]["ttl"]) <= 7_400
+    rig.talks[0].serve(ids(2)[0])
+    rig.until(lambda: second.answers())
+    assert first.answers()[1] == "served" and second.answers() == ["served"]
+
+
+def test_answer_that_comes_in_the_look_after_its_deadline_is_no_second_answer(rig):
+    client = out(rig)
+    (q,) = rig.service.reducer.asking.values()
+    rig.talks[0].serve(ids(1)[0])
+    go_past(rig, q.due)
+    rig.turn(5)
+    assert len(client.answers()) == 2  # that of connected() and one more
+
+
+def test_unsafe_attempt_whose_time_is_up_as_its_connection_breaks_is_answered_failed_once(rig):
+    client = out(rig, 1, route="change", patience=6_000)
+    (q,) = rig.service.reducer.asking.values()
+    rig.talks[0].close()
+    go_past(rig, q.due)
+    rig.turn(5)
+    assert client.answers()[1:] == [FAILED[0]] and rig.wants == ids(1)
+
+
+# ---- answers ----------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("later", [False, True], ids=["in one piece", "a round later"])
+def test_second_answer_of_an_engine_is_passed_over(rig, later):
+    client = out(rig)
+    answer = ACK.format(id=ids(1)[0]).encode()
+    rig.talks[0].sock.sendall(answer if later else 2 * answer)
+    rig.turn(3)
+    if later:
+        rig.talks[0].sock.sendall(answer)
+    client.write(query(2))
+    rig.until(lambda: len(rig.wants) == 2)
+    assert client.answers()[1:] == ["served"]
+    rig.talks[0].serve(ids(2)[0])
+    rig.until(lambda: len(client.answers()) == 3)
+
+
+def test_answer_and_cancel_in_one_look_are_one_answer(rig):
+    client = out(rig)
+    number = int.from_bytes(client.hear()[0].split(b"\0", 1)[1][:4], "little")
+    other = rig.client()
+    rig.turn(2)
+    other.write(packet(0, b"\x03KILL QUERY %d" % number))
+    rig.talks[0].serve(ids(1)[0])
+    rig.turn(5)
+    assert len(client.answers()) <= 2 and not rig.service.reducer.asking
+    client.write(query(2))  # the session goes on where the cancel came after the answer
+    rig.turn(3)
+    assert not rig.log.faults()
+
+
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_client_that_leaves_as_its_answer_is_written_ends_nothing_else(rig, monkeypatch, how):
+    client = out(rig)
+    finish = rig.service.door.finish
+
+    def leave_first(session, rows):
+        getattr(client, how)()
+        finish(session, rows)
+
+    monkeypatch.setattr(rig.service.door, "finish", leave_first)
+    rig.talks[0].serve(ids(1)[0])
+    rig.turn(3)
+    monkeypatch.undo()
+    assert not rig.service.door.clients and not rig.log.faults()
+    rig.serving = True
+    other = rig.client(LOGIN + query(2))
+    rig.until(lambda: other.answers())
+    assert other.answers() == ["served"]
+
+
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b"\xff\xfe\r\n",
+        b"{id} ACK parts=2,work=1 4\r\nab\tc\r\n",
+        b"{id} ACK parts=-5 0\r\n\r\n",
+        b"{id} ACK work=1 8\r\nno rows!\r\n",
+        b"x" * 10_000,  # a line without an end
+        b"{id} ACK work=1 6000\r\n" + b"y" * 9_000,  # a body without an end
+    ],
+    ids=["not ASCII", "wrong length", "no number", "no rows", "endless line", "endless body"],
+)
+@pytest.mark.parametrize("route", ["lookup", "change"])
+def test_answer_that_cannot_be_read_frees_no_query_of_its_answer(rig, spoilt, route):
+    client = out(rig, 1, route=route)
+    rig.serving = True
+    rig.talks[0].sock.sendall(spoilt.replace(b"{id}", ids(1)[0].encode()))
+    rig.until(lambda: len(client.answers()) == 2)
+    assert client.answers()[1] == ("served" if route == "lookup" else FAILED[0])
+    assert rig.wants.count(ids(1)[0]) == (2 if route == "lookup" else 1)
+
+
+def test_engine_that_writes_without_end_holds_up_no_other_query(rig):
+    client = out(rig)
+    other = rig.client(LOGIN)
+    note = f"{ids(1)[0]} EVENT why=advance,value=0.5 0\r\n\r\n".encode()
+    rig.talks[0].sock.settimeout(0)
+    for n in range(40):
+        try:
+            rig.talks[0].sock.sendall(500 * note)
+        except OSError:
+            break
+        if n == 20:
+            other.write(query(2, route="nobody"))
+        rig.service.round()
+    rig.turn(3)
+    assert other.answers() == [FAILED[0]] and len(client.answers()) == 1
+    (q,) = rig.service.reducer.asking.values()
+    go_past(rig, q.due)
+    rig.turn(3)
+    assert len(client.answers()) == 2
+
+
+# ---- connections to engines -------------------------------------------------------------------------
+
+
+def test_engine_drains_while_a_connect_to_it_is_under_way(rig):
+    client = rig.client(LOGIN + query(1))
+    while not rig.service.links.links:
+        rig.service.round()
+    rig.list(2, state="Terminating")
+    rig.turn(5)
+    assert rig.wants == [] and len(rig.service.reducer.asking) == 1
+    (q,) = rig.service.reducer.asking.values()
+    go_past(rig, q.due)
+    rig.turn(2)
+    assert client.answers() == [REFUSED[0]]
+
+
+def test_connect_that_would_come_up_late_is_given_up_and_nothing_is_written_on_it(rig, monkeypatch):
+    def never(sock, address):
+        raise OSError(errno.EINPROGRESS, "in progress")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(rig.system, "connect", never)
+        client = rig.client(LOGIN + query(1))
+        while not rig.service.links.links:
+            rig.service.round()
+        (link,) = rig.service.links.links.values()
+        late = link.sock
+        rig.pass_time(rig.service.reducer.lines.connect_wait / 10_000)
+        rig.service.round()
+        assert late.fileno() < 0  # closed before it could come up
+    rig.until(lambda: client.answers())
+    assert rig.wants in (ids(1), []) and client.answers()[0] in ANSWERS
+
+
+def test_engine_closes_an_idle_connection_as_the_router_closes_it_too(rig):
+    client = rig.connected()
+    rig.pass_time(rig.service.reducer.lines.keepalive / 10_000)
+    rig.talks[0].close()
+    rig.turn(3)
+    assert not rig.service.links.links and not rig.log.faults()
+    client.write(query(1))
+    rig.until(lambda: len(client.answers()) == 2)
+    assert client.answers()[1] == "served"
+
+
+def test_next_query_of_a_key_waits_out_the_attempt_whose_connection_broke(rig):
+    first = out(rig, 1, nonce="01", **KEYED)
+    second = rig.client(LOGIN + query(2, nonce="02", **KEYED))
+    rig.until(lambda: len(rig.service.reducer.asking) == 2)
+    first.close()  # nobody waits for the first any more, but it may be running
+    rig.talks[0].close()
+    rig.serving = True
+    rig.turn(3)
+    assert rig.wants == ids(1)  # the key rests
+    rig.pass_time(rig.service.reducer.order_pause / 10_000 + 0.01)
+    rig.until(lambda: second.answers())
+    assert rig.wants == ids(1, 2) and second.answers() == ["served"]
+
+
+@pytest.mark.parametrize("route", ["lookup", "change"])
+def test_attempts_that_fail_at_once_stay_within_the_limit_of_tries(rig, route):
+    client = rig.connected()
+    rig.serving = False
+    client.write(query(1, route=route))
+    for _ in range(60):
+        rig.turn()
+        for talk in [talk for talk in rig.talks if talk.sock.fileno() >= 0]:
+            if rig.wants:
+                talk.close()
+        rig.pass_time(0.02)
+    rig.serving = True
+    rig.until(lambda: len(client.answers()) == 2)
+    assert rig.wants.count(ids(1)[0]) <= (3 if route == "lookup" else 1)
+
+
+# ---- sessions ---------------------------------------------------------------------------------------
+
+
+def test_idle_session_that_has_just_asked_is_not_the_one_that_gives_way(rig):
+    door = rig.service.door
+    waiting = [rig.client() for _ in range(door.seats.most)]
+    rig.until(lambda: len(door.clients) == door.seats.most and not door.seats.steps)
+    asking = waiting[0]  # it has rested longest
+    asking.write(query(1))  # not read yet when the newcomer is accepted
+    newcomer = rig.client(LOGIN + query(2))
+    door.accept(1)
+    rig.until(lambda: newcomer.answers() and asking.answers())
+    assert newcomer.answers() == ["served"] and asking.answers() == ["served"]
+    assert [client.ended for client in waiting].count(True) == 0 and len(door.clients) <= door.seats.most
+
+
+def test_client_that_never_reads_keeps_its_result_to_itself_and_is_dropped_in_time(rig):
+    client = out(rig)
+    session = next(iter(rig.service.door.clients.values()))
+    send = rig.system.send
+
+    def full(sock, data):
+        if sock is session.pipe.sock:
+            raise BlockingIOError(errno.EAGAIN, "full")
+        return send(sock, data)
+
+    rig.system.send = full
+    rig.talks[0].serve(ids(1)[0])
+    rig.turn(3)
+    assert session.pipe.left and not rig.service.reducer.asking
+    rig.serving = True
+    other = rig.client(LOGIN + query(2))
+    rig.until(lambda: other.answers())
+    assert other.answers() == ["served"]
+    rig.pass_time(seats.STEP / 10_000 + 0.1)
+    rig.service.door.sweep()
+    assert session.pipe.closed and client is not None
+
+
+def test_error_of_a_late_step_is_read_though_bytes_came_as_it_was_written(rig, monkeypatch):
+    """A close over unread bytes would reset the connection and take the error away."""
+    client = rig.client(LOGIN[:9])
+    rig.turn(2)
+    (session,) = rig.service.door.clients.values()
+    rig.pass_time(seats.STEP / 10_000)
+    put = session.pipe.put
+
+    def cross(data):
+        client.write(LOGIN[9:12])
+        return put(data)
+
+    session.pipe.put = cross
+    rig.service.door.sweep()
+    rig.turn(3)
+    client.hear()
+    assert b"not complete in time" in client.heard and client.ended
+
+
+def test_reload_under_an_open_query_changes_nothing_for_it(rig, monkeypatch):
+    client = out(rig)
+    monkeypatch.setattr(service.config, "read", lambda: rig.station._replace(bus=("127.0.0.1", 9)))
+    monkeypatch.setattr(rig.service.follower, "move", lambda *about: None)
+    rig.talks[0].serve(ids(1)[0])  # its answer is on its way as the signal comes
+    rig.service.reload()
+    rig.turn(2)
+    assert client.answers() == ["served", "served"]
+
+
+def test_login_and_query_in_one_segment_on_a_session_that_finds_no_room_get_an_answer(rig):
+    door = rig.service.door
+    busy = [rig.client() for _ in range(door.seats.most)]
+    rig.until(lambda: len(door.clients) == door.seats.most)
+    for client in busy:
+        client.write(query(99)[:30])  # all have unread bytes: nobody gives way
+    late = rig.client(LOGIN + query(1))
+    door.accept(1)
+    rig.turn(2)
+    late.hear()
+    assert late.payloads()[0][:1] == b"\xff"
+    assert int.from_bytes(late.payloads()[0][1:3], "little") == REFUSED[0]
+    assert SELECT and not rig.log.faults()
