--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,13 +2,21 @@
 by all."""
 
 import random
+import tracemalloc
 
 import pytest
 from conftest import CATALOG, LOAD, LOOKUP, REPORT
+from rounds_by_hand import Rig
 
 from hillchute.accord.subsets import Sight
 from hillchute.decision.interface import Listing
 from hillchute.decision.teamwork import SECOND, Teamwork
+from hillchute.engines import words
+from hillchute.lab import deployment
+from hillchute.membership.event_bus import Entry, News
+from hillchute.router import config, events
+from hillchute.router.reducer import Reducer
+from hillchute.statements import request as statement
 
 MORE_LOOKS = 1.2  # times as many engines looked at for a query, at sixteen times the engines
 EVERYWHERE = 2  # a query without a place among those in sight may look at all of them once or twice
@@ -69,6 +77,52 @@
     assert {router.places.of(e) for e in router.engines} == set(range(3_200))
 
 
+def connects(engines):
+    """Connections made for some hundreds of queries that are answered at once, and those open in the end."""
+    station = config.station(deployment.table(routers=200, sockets=576), {})
+    reducer = Reducer(Teamwork(1, station.catalog, 0), station.catalog, station.sockets // 3)
+    entries = tuple(Entry(listing(n), "127.0.0.1", 1 + n) for n in range(engines))
+    reducer.reduce(events.Told(News(1, "Complete", entries)), 1)
+    made, waiting = 0, []
+    for n in range(300):
+        now = 10 + n * 500
+        text = f"/* route=lookup,trace={n:016x},patience=3000,weight=20.0,mb=1 */ SELECT 1 FROM s_{n % 40}.t"
+        waiting += reducer.reduce(events.Asked(n + 1, statement.read(text.encode()), now), now)
+        while waiting:
+            match waiting.pop(0):
+                case events.Connect(line, _, _):
+                    made += 1
+                    waiting += reducer.reduce(events.Connected(line), now)
+                case events.Send(line, words.Probe(tag)):
+                    said = words.Probed(tag, "finished", {"util": 0.3, "inflight": 3.0})
+                    waiting += reducer.reduce(events.Said(line, said), now)
+                case events.Send(line, words.Run(id=id)):
+                    waiting += reducer.reduce(events.Said(line, words.Whole(id, [], 20.0)), now)
+    assert not reducer.asking
+    return made, len(reducer.lines.lines)
+
+
+@pytest.mark.parametrize("engines", [70, 200])
+def test_connections_made_and_kept_stay_as_they_are_among_sixteen_times_as_many(engines):
+    few, many = connects(engines), connects(16 * engines)
+    assert 0 < many[0] <= 2.5 * few[0] + 40 and many[1] <= 2 * few[1] + 40
+
+
+def test_memory_for_three_thousand_engines_is_within_the_bound():
+    def kept(engines):
+        tracemalloc.start()
+        rig = Rig(table=deployment.table(routers=200))
+        entries = tuple(Entry(listing(n), "127.0.0.1", 1 + n) for n in range(engines))
+        rig.service.told(News(2, "Complete", entries))
+        _, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        rig.close()
+        return peak
+
+    kept(10)  # what is made once in a process
+    assert kept(3_200) <= 1.5 * kept(200) + (8 + 4 * 3.2) * 1_000_000
+
+
 def plainly(router, q, free, home, silent):
     """The same choice as a rule over all engines, one after another."""
     engines = [e for e in router.engines_for(q) if free(e)]
