A router whose clock was set back before its start says so to the operator

Others hold its earlier start for the later one and believe nothing of it (Window.take); it counted as datagrams to an earlier life, which is not what an operator can act on. ClockBehind names it and the remedy; taking a later number from others is not done.

--- a/hillchute/errors.py
+++ b/hillchute/errors.py
@@ -83,6 +83,14 @@
     remedy = "give all routers the same names under `peers`, then send SIGHUP; until then no parts are lent"
 
 
+class ClockBehind(HillchuteError):
+    """Other routers know a later start of this one: its wall clock was set back before it started. They
+    believe nothing of it, and it shares nothing with them; it serves as a router alone. `where` is its
+    name."""
+
+    remedy = "set this machine's clock right, then restart the router"
+
+
 class BookNotCurrent(HillchuteError):
     """A holder of the answer history has not applied the last policies; `where` is its name."""
 
--- a/hillchute/peers/codec.py
+++ b/hillchute/peers/codec.py
@@ -111,6 +111,11 @@
     return "sender" if len(datagram.sender) > NAME or len(datagram.about) > NAME else ""
 
 
+# A life's number is the time of its start: after a restart with the clock set back it is below that of the
+# life before, and the others believe nothing of this one.
+CLOCK_BEHIND = "to a later life of this router"
+
+
 class Window:
     """What has come of one peer: which life of it, which numbers. Each datagram counts once, in any order.
 
@@ -133,6 +138,8 @@
         does once it is answered. Raises DatagramDropped for what an earlier life sent or got, or a repeat."""
         if datagram.heard != own:
             self.hint = max(self.hint, datagram.born)
+            if datagram.heard > own:
+                raise DatagramDropped(CLOCK_BEHIND, datagram.sender)
             if datagram.heard:
                 raise DatagramDropped("to an earlier life", datagram.sender)
             return False
--- a/hillchute/router/peering.py
+++ b/hillchute/router/peering.py
@@ -11,8 +11,9 @@
 from hillchute.accord.company import Company
 from hillchute.decision.interface import Report
 from hillchute.decision.teamwork import Teamwork
-from hillchute.errors import ListsDiffer
+from hillchute.errors import ClockBehind, ListsDiffer
 from hillchute.log import Log
+from hillchute.peers.codec import CLOCK_BEHIND
 from hillchute.peers.link import Address, Link, Steady
 from hillchute.peers.node import Node
 from hillchute.router.config import Station, address
@@ -131,6 +132,10 @@
         for name in sorted(self.company.unlike):
             self.log.write("peers_differ", **ListsDiffer("other names under `peers`", name).told)
 
+        if behind := self.node.dropped[CLOCK_BEHIND]:
+            fault = ClockBehind(f"{behind} datagrams to a later start of this router", self.node.me)
+            self.log.write("peers_clock", **fault.told)
+
     def news(self) -> list[tuple[int, Report, int]]:
         return self.company.news()
 
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -1,12 +1,14 @@
 """The wall clock steps by an hour: nothing is lost, early, late or repeated."""
 
 import re
+import time
 from pathlib import Path
 
 import pytest
 from rounds_by_hand import LOGIN, Rig, query
 
 from hillchute.net.clock import Clock, StartTimes, up
+from hillchute.peers.link import Steady
 
 HOUR = 3_600 * 10**9
 STEPS = [-3_600, -5, 5, 3_600]
@@ -80,7 +82,6 @@
 def test_router_serves_through_a_step_and_its_timers_run_on(seconds):
     """One query is out, one waits for an engine's rest, one is asked after the step; then the end begins."""
     wall = {"step": 0}
-    import time
 
     def unix():
         return time.time_ns() + wall["step"]
@@ -112,6 +113,15 @@
         rig.close()
 
 
+@pytest.mark.parametrize("seconds", STEPS)
+def test_clock_of_leases_goes_on_evenly_over_a_step(seconds, monkeypatch):
+    now = time.time_ns
+    clock = Steady()
+    before = clock()
+    monkeypatch.setattr(time, "time_ns", lambda: now() + seconds * 10**9)
+    assert 0 <= clock() - before < 10_000
+
+
 def test_nothing_that_serves_reads_the_wall_clock_outside_the_files_that_are_named():
     found = {}
     for path in sorted((ROOT / "hillchute").rglob("*.py")):
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -119,6 +119,20 @@
     peering.tell_counts(0)
 
 
+def clock_behind(log, tmp_path):
+    """The router was up at a later time by its clock, which was then set back; another still knows that."""
+    station = config.Station("a", "", 0, 1, 1, 1, ("", 0), 0, (), {"parties.count": 0}, 1)
+    peers = {"name": "a", "listen": "127.0.0.1:1", "others": []}
+    peering = Peering({"peers": peers}, station, None, log, lambda: None)
+    node = peering.node
+    node.named({"b": KEY}, EPOCH)
+    other = Node("b", node.born, {"a": KEY}, 1, EPOCH, None)
+    other.windows["a"].born = node.born + 3_600_000
+    ((_, data),) = other.say("a", b"x")
+    assert node.receive(EPOCH, data) == []
+    peering.tell_counts(0)
+
+
 def remembering(log, tmp_path, **about):
     text = "history: {number: 2, default: {}}\n" + 'peers: {name: "a", listen: "127.0.0.1:1", others: []}'
     settings = reading.hold(text)["history"] | about
@@ -174,6 +188,7 @@
     ("error", "path"),
     [
         (errors.ListsDiffer, lists_differ),
+        (errors.ClockBehind, clock_behind),
         (errors.PartnerBroke, partner_broke),
         (errors.BookNotTaken, book_not_taken),
         (errors.BookNotCurrent, book_not_current),
