--- a/tests/rounds_by_hand.py
+++ b/tests/rounds_by_hand.py
@@ -51,6 +51,23 @@
     return packet(0, b"\x03" + text.encode())
 
 
+class Signals:
+    """Stands in for the receiver of signals."""
+
+    def __init__(self, *numbers):
+        self.numbers = numbers
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        pass
+
+    async def __aiter__(self):
+        for number in self.numbers:
+            yield number
+
+
 class Kept(Log):
     """A log whose lines a test can look through."""
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -9,6 +9,7 @@
 import orjson
 import pytest
 from conftest import CATALOG
+from rounds_by_hand import Signals
 
 from hillchute.benchlink.codec import Fields
 from hillchute.decision.interface import Listing
@@ -577,23 +578,6 @@
         self.writing = on
 
 
-class Signals:
-    """Stands in for the receiver of signals."""
-
-    def __init__(self, *numbers):
-        self.numbers = numbers
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, *_):
-        pass
-
-    async def __aiter__(self):
-        for number in self.numbers:
-            yield number
-
-
 @pytest.fixture
 def station():
     return config.station(TABLE, {})
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -6,12 +6,11 @@
 import subprocess
 import sys
 from pathlib import Path
-from types import SimpleNamespace
 
 import anyio
 import orjson
 import pytest
-from rounds_by_hand import LOGIN, MILLISECOND, Rig, query, short_deadlines
+from rounds_by_hand import LOGIN, MILLISECOND, Rig, Signals, query, short_deadlines
 
 from hillchute.fronts.mysql.packets import FAILED, REFUSED
 from hillchute.lab import deployment
@@ -130,8 +129,9 @@
     monkeypatch.setattr(service.config, "read", lambda: rig.station._replace(bus=("127.0.0.1", 9)))
     monkeypatch.setattr(rig.service.follower, "move", lambda bus, tasks: moved.append(bus))
     monkeypatch.setattr(service.signal, "pthread_sigmask", lambda *_: None)
-    receiver = SimpleNamespace(signals=[signal.SIGHUP, signal.SIGTERM])
-    monkeypatch.setattr(service.anyio, "open_signal_receiver", lambda *_: Receiver(receiver.signals))
+    monkeypatch.setattr(
+        service.anyio, "open_signal_receiver", lambda *_: Signals(signal.SIGHUP, signal.SIGTERM)
+    )
     monkeypatch.setattr(rig.service, "stamp_arrival", lambda number: None)
     anyio.run(rig.service.watch_signals)
     assert moved == [("127.0.0.1", 9)] and rig.service.lifecycle.phase is Phase.CLOSING
@@ -146,23 +146,6 @@
     assert len(client.answers()) == 2
 
 
-class Receiver:
-    """Signals that come one after another, then no more."""
-
-    def __init__(self, numbers):
-        self.numbers = numbers
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, *_):
-        pass
-
-    async def __aiter__(self):
-        for number in self.numbers:
-            yield number
-
-
 DURING_THE_START = """
 import os, signal, sys
 from hillchute.router import __main__ as program
