Peers' streams: no spin without descriptors, no router ended by one datagram's fault

link.accept went on at once after EMFILE or ENFILE while its listener stayed readable; tell_all and carry called the node unguarded, so that a fault of ours in one datagram or message ended the router's task group. Both forced in tests; the guard was taken out and its test failed.

--- a/hillchute/peers/link.py
+++ b/hillchute/peers/link.py
@@ -19,6 +19,7 @@
 from hillchute.catalog import up
 from hillchute.decision.interface import Time
 from hillchute.errors import PeersNotReachable
+from hillchute.net.system import CONNECTION_FAILED, NOT_YET
 from hillchute.peers.codec import MOST, MOST_ON_STREAM
 from hillchute.peers.node import Node
 from hillchute.peers.parts import PIECE
@@ -28,6 +29,7 @@
 AT_ONCE = 64  # datagrams read between two turns of the loop: about 2 ms
 STREAMS = 4  # streams from others that are open at once
 STREAM_TIME = 2.0  # seconds that one may last
+ACCEPT_AGAIN = 0.1  # seconds until streams are accepted again after a want of descriptors or memory
 FRAMES = 256  # datagrams in a stream at the most: a list of some thousands of engines
 CARRIED = 256  # messages that wait for a stream to one peer: what is more is lost, as the network may lose it
 LENGTH = struct.Struct(">H")
@@ -210,7 +212,11 @@
             await anyio.wait_readable(self.listener)
             try:
                 sock, _ = self.listener.accept()
-            except OSError:
+            except OSError as fault:
+                if fault.errno not in NOT_YET and fault.errno not in CONNECTION_FAILED:
+                    # Guards against a loop that spins while this machine lacks descriptors or memory.
+                    self.counts["streams not accepted"] += 1
+                    await anyio.sleep(ACCEPT_AGAIN)
                 continue
             if self.streams.available_tokens < 1:
                 sock.close()
@@ -228,8 +234,7 @@
                         heard = BufferedByteReceiveStream(stream)
                         for _ in range(FRAMES):
                             data = await frame(heard)
-                            answers = self.node.receive(self.clock(), data, MOST_ON_STREAM)[:FRAMES]
-                            self.ride()
+                            answers = self.answers(data)
                             for _, answer in answers:
                                 await stream.send(LENGTH.pack(len(answer)) + answer)
                             if answers:
@@ -241,6 +246,17 @@
             except GONE:
                 self.counts["streams broken"] += 1
 
+    def answers(self, data: bytes) -> list[tuple[str, bytes]]:
+        """What goes back for one datagram of a stream; a fault of ours in it ends no more than that."""
+        found: list[tuple[str, bytes]] = []
+
+        def receive() -> None:
+            found.extend(self.node.receive(self.clock(), data, MOST_ON_STREAM)[:FRAMES])
+            self.ride()
+
+        self.guarded(receive)
+        return found
+
     async def ask_all(self, name: str) -> None:
         """All that a peer can tell, at a start or after a cut. What it does not bring, datagrams will."""
         address = self.addresses.get(name)
@@ -275,6 +291,8 @@
             self.counts["streams broken"] += 1
         except KeyError:  # the operator named it no more meanwhile
             pass
+        except Exception:  # a message that can't be put in pieces, say: it alone is lost
+            self.fault(traceback.format_exc(limit=-6))
         finally:
             self.heavy.pop(name, None)
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,5 +1,6 @@
 """Routers of one fleet as processes, with faults between them; wiring of a router with peers."""
 
+import errno
 import socket
 import subprocess
 import sys
@@ -341,3 +342,78 @@
         with pytest.raises(HillchuteError) as fault:
             found.open()
     assert fault.value.where == f"127.0.0.1:{address.port}" and "peers.listen" in fault.value.remedy
+
+
+class Shut:
+    """A listener that always has somebody waiting and never a descriptor for them."""
+
+    def __init__(self, sock):
+        self.sock, self.asked = sock, 0
+
+    def fileno(self):
+        return self.sock.fileno()
+
+    def accept(self):
+        self.asked += 1
+        raise OSError(errno.ENFILE, "too many open files in system")
+
+    def close(self):
+        self.sock.close()
+
+
+@pytest.fixture
+def link():
+    faults = []
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+        free.bind(("127.0.0.1", 0))
+        address = links.Address(*free.getsockname())
+    found = links.Link(
+        address, {}, Nodes(["a"]).nodes["a"], lambda: NOW, lambda now: (), lambda: None, faults.append
+    )
+    found.faults = faults
+    found.open()
+    yield found
+    found.sock.close()
+    found.listener.close()
+
+
+def test_streams_are_not_accepted_in_a_loop_that_spins_without_descriptors(link, monkeypatch):
+    waits = []
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+
+            async def sleep(seconds):
+                waits.append((seconds, link.listener.asked))
+                if len(waits) == 3:
+                    tasks.cancel_scope.cancel()
+                await anyio.lowlevel.checkpoint()
+
+            monkeypatch.setattr(links.anyio, "sleep", sleep)
+            with socket.create_connection(link.listener.getsockname()):
+                link.listener = Shut(link.listener)
+                tasks.start_soon(link.accept, tasks)
+                while not tasks.cancel_scope.cancel_called:
+                    await anyio.lowlevel.checkpoint()
+
+    anyio.run(run)
+    assert waits == [(links.ACCEPT_AGAIN, n) for n in (1, 2, 3)]
+
+
+def test_fault_of_ours_in_one_datagram_of_a_stream_ends_nothing(link, monkeypatch):
+    def receive(now, data, most):
+        raise IndexError("a fault of ours")
+
+    monkeypatch.setattr(link.node, "receive", receive)
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(link.accept, tasks)
+            with socket.create_connection(link.listener.getsockname()) as sock:
+                sock.sendall(links.LENGTH.pack(5) + b"wrong")
+                while not link.faults:
+                    await anyio.sleep(0.001)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert "a fault of ours" in link.faults[0]
