A fault in one effect keeps none of the others from being carried out

handle_one ran effects unguarded: an exception in the answer to one session left the effects behind it undone and, for queries and timers, ended the router's task group.

--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -181,9 +181,17 @@
             if isinstance(effect, events.Send):
                 sends.setdefault(effect.line, []).append(effect.command)
             else:
-                self.carry_out(effect)
+                self.attempt(self.carry_out, effect)
         for line, commands in sends.items():
-            self.links.send(line, commands)
+            self.attempt(self.links.send, line, commands)
+
+    def attempt(self, work: Callable[..., None], *about: object) -> None:
+        """A fault in one effect keeps none of the others from being carried out, nor ends the router."""
+        try:
+            work(*about)
+        except Exception as fault:
+            self.log.write("fault", what=work.__name__, why=repr(fault), trace=traceback.format_exc(limit=-6))
+            self.dump(BEFORE_A_FAULT)
 
     def carry_out(self, effect: events.Effect) -> None:
         match effect:
