--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -362,15 +362,15 @@
 def test_fault_of_ours_in_one_answer_keeps_no_other_query_from_its_own(rig, monkeypatch):
     first, second = rig.connected(), rig.client()
     rig.until(lambda: len(rig.service.door.clients) == 2 and not rig.service.door.seats.steps)
-    finish, broken = rig.service.door.finish, min(rig.service.door.clients)
+    kill, broken = rig.service.door.kill, min(rig.service.door.clients)
 
-    def finish_all_but_one(session, rows):
+    def kill_all_but_one(session, why):
         if session == broken:
             raise IndexError("a fault of ours")
-        finish(session, rows)
+        kill(session, why)
 
-    monkeypatch.setattr(rig.service.door, "finish", finish_all_but_one)
-    first.write(query(1))
-    second.write(query(2))
+    monkeypatch.setattr(rig.service.door, "kill", kill_all_but_one)
+    first.write(query(1, route="nobody"))
+    second.write(query(2, route="nobody"))  # both are taken in one round
     rig.until(lambda: second.answers() and rig.log.faults())
-    assert second.answers() == ["served"] and len(rig.log.faults()) == 1
+    assert second.answers() == [FAILED[0]] and len(rig.log.faults()) == 1
