--- a/hillchute/lab/slowloop.py
+++ b/hillchute/lab/slowloop.py
@@ -498,7 +498,7 @@
         service, world = self.service, self.world
         async with anyio.create_task_group() as service.tasks:
             for news in self.station.known:
-                service.handle(events.Told(news))
+                service.handle(events.Notified(news))
             self.lifecycle.enter(Phase.SERVING)
             sweep = world.us
             while self.gone is None:
--- a/hillchute/membership/event_bus.py
+++ b/hillchute/membership/event_bus.py
@@ -25,7 +25,7 @@
     port: int
 
 
-class News(NamedTuple):
+class Update(NamedTuple):
     number: int
     mode: str  # Complete, Partial or Nothing
     entries: tuple[Entry, ...]
@@ -40,17 +40,17 @@
 
 
 class Decoder:
-    """News out of bytes that come in pieces."""
+    """Updates out of bytes that come in pieces."""
 
     def __init__(self) -> None:
         self.buffer = bytearray()
 
-    def feed(self, data: bytes) -> Iterator[News]:
+    def feed(self, data: bytes) -> Iterator[Update]:
         self.buffer += data
-        while (news := self.next_news()) is not None:
+        while (news := self.next_update()) is not None:
             yield news
 
-    def next_news(self) -> News | None:
+    def next_update(self) -> Update | None:
         if len(self.buffer) < FRAME.size:
             return None
         length, number, kind = FRAME.unpack_from(self.buffer)
@@ -62,7 +62,7 @@
         payload = bytes(self.buffer[FRAME.size : FRAME.size + size])
         del self.buffer[: FRAME.size + size]
         mode = ("Nothing", "Complete", "Partial")[kind]
-        return News(number, mode, tuple(entry(fields) for fields in RECORD.iter_unpack(payload)))
+        return Update(number, mode, tuple(entry(fields) for fields in RECORD.iter_unpack(payload)))
 
 
 def entry(fields: tuple) -> Entry:
@@ -73,7 +73,7 @@
     return Entry(listing, ".".join(str(part) for part in host), port)
 
 
-def from_json(known: Mapping[str, object], zones: Iterable[str], kinds: Iterable[str]) -> Iterator[News]:
+def from_json(known: Mapping[str, object], zones: Iterable[str], kinds: Iterable[str]) -> Iterator[Update]:
     """The events told at the start; a KeyError, TypeError or ValueError says what is wrong with them."""
     zones, kinds = list(zones), list(kinds)
     for event in known["batch"]:
@@ -94,4 +94,4 @@
             )
             entries.append(Entry(listing, host, int(port)))
         mode = "Complete" if topology.get("snapshot") else "Partial"
-        yield News(int(event["offset"]), mode, tuple(entries))
+        yield Update(int(event["offset"]), mode, tuple(entries))
--- a/hillchute/membership/follower.py
+++ b/hillchute/membership/follower.py
@@ -22,7 +22,7 @@
     def __init__(
         self,
         log: Log,
-        news: Callable[[event_bus.News], None],
+        news: Callable[[event_bus.Update], None],
         last: Callable[[], int],
         wait: Callable[[float], float],
     ) -> None:
--- a/hillchute/router/config.py
+++ b/hillchute/router/config.py
@@ -36,7 +36,7 @@
     packet: int  # bytes that one session's unread input may take
     bus: tuple[str, int]
     offset: int
-    known: tuple[event_bus.News, ...]
+    known: tuple[event_bus.Update, ...]
     catalog: dict[str, object]
     closing: int  # how long after a planned end all must be answered
 
@@ -138,7 +138,7 @@
     return translate(flatten(nested))
 
 
-def events(table: Mapping[str, object]) -> tuple[int, tuple[event_bus.News, ...]]:
+def events(table: Mapping[str, object]) -> tuple[int, tuple[event_bus.Update, ...]]:
     offset = get(table, "known.offset", int)
     get(table, "known.batch", list)
     zones = get(table, "settings.dcs", list, [])
--- a/hillchute/router/events.py
+++ b/hillchute/router/events.py
@@ -15,8 +15,8 @@
 # ---- events ---------------------------------------------------------------------------------------
 
 
-class Told(NamedTuple):
-    news: event_bus.News
+class Notified(NamedTuple):
+    news: event_bus.Update
 
 
 class Peered(NamedTuple):
@@ -56,7 +56,7 @@
     | NotSent
     | Said
     | Lost
-    | Told
+    | Notified
     | Peered
     | Judged
     | Tick
@@ -71,8 +71,8 @@
             return "Asked", request.id, session, since
         case Said(line, what):
             return "Said", line, type(what).__name__, what and what[0]
-        case Told(news):
-            return "Told", news.number
+        case Notified(news):
+            return "Notified", news.number
         case Peered(news):
             return "Peered", len(news)
         case Judged(id, number, verdict, why, _):
--- a/hillchute/router/lines.py
+++ b/hillchute/router/lines.py
@@ -259,7 +259,7 @@
 
     # ---- the list of engines ----------------------------------------------------------------------
 
-    def told(self, news: event_bus.News) -> None:
+    def told(self, news: event_bus.Update) -> None:
         if news.mode == "Nothing" or news.number <= self.told_to:
             return  # an event bus may write an event again; an older list must not come back
         self.told_to = news.number
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -31,6 +31,7 @@
     Left,
     Lost,
     NotConnected,
+    Notified,
     NotSent,
     Passed,
     PassOn,
@@ -41,7 +42,6 @@
     Spoilt,
     Stream,
     Tick,
-    Told,
 )
 from hillchute.router.lateness import Lateness
 from hillchute.router.lines import Leg, Line, Lines, Query
@@ -89,7 +89,7 @@
             Said: self.said,
             NotSent: self.not_sent,
             Lost: self.lines.lost,
-            Told: self.lines.told,
+            Notified: self.lines.told,
             Peered: self.peered,
             Judged: self.judged,
             Tick: self.tick_came,
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -270,7 +270,7 @@
             return False
         return session >= FIRST_CALL or session in self.door.clients
 
-    def told(self, news: event_bus.News) -> None:
+    def told(self, news: event_bus.Update) -> None:
         """An update of the list of engines; their start times as this router's clock has them."""
         entries = []
         for entry in news.entries:
@@ -278,7 +278,7 @@
             started = self.start_times.translate(listing.engine, listing.started)
             listing = self.usable(listing._replace(started=started))
             entries.append(entry._replace(listing=listing))
-        self.handle(events.Told(news._replace(entries=tuple(entries))))
+        self.handle(events.Notified(news._replace(entries=tuple(entries))))
 
     def usable(self, listing: Listing) -> Listing:
         """An engine of a kind that the settings do not name is no place for any query."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,7 +9,7 @@
 
 from hillchute.decision.interface import Listing
 from hillchute.membership import event_bus, follower
-from hillchute.membership.event_bus import FRAME, Entry, News
+from hillchute.membership.event_bus import FRAME, Entry, Update
 from hillchute.membership.follower import Follower
 
 EMPTY = FRAME.pack(9, 0, 0)
@@ -204,7 +204,7 @@
     (old,) = rig.service.links.links.values()
     started = rig.clock() - 200_000  # long enough ago to be warm
     entries = [entry(rig, "Terminating"), entry(rig, "Gone"), entry(rig, "Ready", started)]
-    rig.service.told(News(2, "Partial", tuple(entries)))
+    rig.service.told(Update(2, "Partial", tuple(entries)))
     assert rig.service.reducer.module.engines[1].ready
     assert old.pipe.closed  # the process that it was open to is gone
     client.write(query(1))
@@ -217,7 +217,7 @@
     rig.serving = False
     client.write(query(1))
     rig.until(lambda: rig.wants)
-    rig.service.told(News(2, "Partial", (entry(rig, "Ready", rig.clock() - 200_000),)))
+    rig.service.told(Update(2, "Partial", (entry(rig, "Ready", rig.clock() - 200_000),)))
     other.write(query(2))
     rig.until(lambda: len(rig.wants) == 2)
     assert len(rig.talks) == 2  # the new attempt went to the new process, on a connection of its own
@@ -232,7 +232,7 @@
     rig.serving = False
     client.write(query(1))
     rig.until(lambda: rig.wants)
-    rig.service.told(News(2, "Partial", (entry(rig, "Gone"), entry(rig, "Ready", engine=2))))
+    rig.service.told(Update(2, "Partial", (entry(rig, "Gone"), entry(rig, "Ready", engine=2))))
     other = rig.client(LOGIN + query(2))
     rig.until(lambda: len(rig.wants) == 2)
     assert len(rig.talks) == 2
@@ -251,7 +251,7 @@
 
 
 def test_engine_of_a_kind_that_the_settings_do_not_name_gets_nothing_and_the_rest_of_the_list_counts(rig):
-    rig.service.told(News(2, "Partial", (entry(rig, "Ready", engine=3, kind=9), entry(rig, "Terminating"))))
+    rig.service.told(Update(2, "Partial", (entry(rig, "Ready", engine=3, kind=9), entry(rig, "Terminating"))))
     engines = rig.service.reducer.module.engines
     assert not engines[1].ready and not engines[3].ready
     (line,) = [fields for event, fields in rig.log.lines if event == "listing"]
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -20,7 +20,7 @@
 from hillchute.lab.faulty_system import Fault, FaultySystem
 from hillchute.lab.history_net import EPOCH
 from hillchute.membership import event_bus
-from hillchute.membership.event_bus import Entry, News
+from hillchute.membership.event_bus import Entry, Update
 from hillchute.operator import reading
 from hillchute.partners.agreement import Mark, settle
 from hillchute.partners.kept import MarksFile
@@ -167,7 +167,7 @@
 def unknown_kind(log, tmp_path):
     rig = Rig()
     rig.service.log = log
-    rig.service.told(News(2, "Partial", (Entry(Listing(1, 9, 0, 0, 0, "Ready", 1.0), "127.0.0.1", 1),)))
+    rig.service.told(Update(2, "Partial", (Entry(Listing(1, 9, 0, 0, 0, "Ready", 1.0), "127.0.0.1", 1),)))
     rig.close()
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -197,7 +197,7 @@
     station = config.station(table, {})
     reducer = Reducer(Teamwork(station.seed, station.catalog, 0), station.catalog, station.sockets // 3)
     for news in station.known:
-        reducer.reduce(events.Told(news), 0)
+        reducer.reduce(events.Notified(news), 0)
     assert len(reducer.lines.peers) == 1024
     group = next(iter(reducer.groups))
     request = statement.Request("a" * 16, group, 8 * SECOND, b"SELECT 1 FROM sales_4.t", token="t")
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -288,7 +288,7 @@
         self.exchanges = {}
         self.reducer = Reducer(Teamwork(7, catalog, 0), catalog, 10)
         entries = [event_bus.Entry(Listing(e, 0, 0, 0, 0, "Ready", 1.0), "127.0.0.1", e) for e in range(1, 7)]
-        self.do(events.Told(event_bus.News(1, "Complete", tuple(entries))))
+        self.do(events.Notified(event_bus.Update(1, "Complete", tuple(entries))))
 
     def do(self, event, now=0, kind=None):
         effects = self.reducer.reduce(event, now)
@@ -363,7 +363,7 @@
 def test_engine_that_is_gone_is_forgotten_once_nothing_is_out_there(rig):
     def told(number, state):
         entry = event_bus.Entry(Listing(engine, 0, 0, 0, 0, state, 1.0), "127.0.0.1", engine)
-        rig.do(events.Told(event_bus.News(number, "Partial", (entry,))), 5)
+        rig.do(events.Notified(event_bus.Update(number, "Partial", (entry,))), 5)
 
     line = rig.sent()
     engine = rig.reducer.lines.lines[line].engine
@@ -461,7 +461,7 @@
     (wait,) = [e for e in rig.ask() if isinstance(e, events.Connect)]
     engine = rig.reducer.lines.lines[wait.line].engine
     entry = event_bus.Entry(Listing(engine, 0, 0, 0, 0, "Terminating", 1.0), "127.0.0.1", engine)
-    rig.do(events.Told(event_bus.News(2, "Partial", (entry,))), 5)
+    rig.do(events.Notified(event_bus.Update(2, "Partial", (entry,))), 5)
     sends = rig.do(events.Connected(wait.line), 10, events.Send)
     assert not [e for e in sends if isinstance(e.command, words.Run)]
     assert rig.reducer.queries["a" * 16].legs[0].over
@@ -529,7 +529,7 @@
 def test_event_written_twice_brings_no_older_list_back(rig):
     def listed(number, state):
         entry = event_bus.Entry(Listing(1, 0, 0, 0, 0, state, 1.0), "127.0.0.1", 1)
-        rig.do(events.Told(event_bus.News(number, "Partial", (entry,))))
+        rig.do(events.Notified(event_bus.Update(number, "Partial", (entry,))))
         return rig.reducer.lines.peers[1].ready
 
     assert not listed(3, "Terminating")
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -13,7 +13,7 @@
 from hillchute.decision.teamwork import SECOND, Teamwork
 from hillchute.engines import words
 from hillchute.lab import deployment
-from hillchute.membership.event_bus import Entry, News
+from hillchute.membership.event_bus import Entry, Update
 from hillchute.router import config, events
 from hillchute.router.reducer import Reducer
 from hillchute.statements import request as statement
@@ -82,7 +82,7 @@
     station = config.station(deployment.table(routers=200, sockets=576), {})
     reducer = Reducer(Teamwork(1, station.catalog, 0), station.catalog, station.sockets // 3)
     entries = tuple(Entry(listing(n), "127.0.0.1", 1 + n) for n in range(engines))
-    reducer.reduce(events.Told(News(1, "Complete", entries)), 1)
+    reducer.reduce(events.Notified(Update(1, "Complete", entries)), 1)
     made, waiting = 0, []
     for n in range(300):
         now = 10 + n * 500
@@ -113,7 +113,7 @@
         tracemalloc.start()
         rig = Rig(table=deployment.table(routers=200))
         entries = tuple(Entry(listing(n), "127.0.0.1", 1 + n) for n in range(engines))
-        rig.service.told(News(2, "Complete", entries))
+        rig.service.told(Update(2, "Complete", entries))
         _, peak = tracemalloc.get_traced_memory()
         tracemalloc.stop()
         rig.close()
