--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -13,7 +13,7 @@
 
 from hillchute.accord.company import Company
 from hillchute.accord.quotas import SPAN, Held
-from hillchute.accord.signals import Drain, Update
+from hillchute.accord.signals import Drain, News
 from hillchute.decision.interface import Listing
 from hillchute.decision.teamwork import SECOND, Teamwork
 from hillchute.errors import HillchuteError
@@ -257,7 +257,7 @@
 
 def test_engine_closed_by_others_word_takes_nothing_until_the_list_has_come_so_far(told):
     for witness in ("r1", "r2"):
-        told.company.signals.heard(NOW, witness, Update(drains=(Drain(3, 9),)))
+        told.company.signals.heard(NOW, witness, News(drains=(Drain(3, 9),)))
     told.stand(20)
     assert not told.module.engines[3].ready
     told.roster(25, "Partial", [Listing(3, 0, 0, 0, 0, "Ready", 1.0)])
