--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -10,12 +10,13 @@
 import anyio
 import orjson
 import pytest
-from rounds_by_hand import LOGIN, MILLISECOND, Rig, Signals, query, short_deadlines
+from rounds_by_hand import LOGIN, MILLISECOND, Kept, Rig, Signals, query, short_deadlines
 
 from hillchute.fronts.mysql.packets import FAILED, REFUSED
 from hillchute.lab import deployment
 from hillchute.router import service, shutdown
-from hillchute.router.lifecycle import Phase
+from hillchute.router.lifecycle import Lifecycle, Phase
+from hillchute.router.rounds import ACCEPTS
 from hillchute.router.shutdown import Step
 
 ANSWERS = {"served", REFUSED[0], FAILED[0]}
@@ -193,3 +194,18 @@
     assert phases[-3:] == ["closing", "flushing", "stopped"]
     (closing,) = [line for line in lines if line["event"] == "closing"]
     assert closing["signalled_ms_ago"] >= ago
+
+
+def test_backlog_longer_than_one_round_takes_is_answered_whole():
+    rig = Rig(sockets=256)
+    way = terminate(rig)
+    clients = [rig.client(LOGIN + query(n)) for n in range(ACCEPTS + 20)]
+    go_to(rig, way.hang_up_by)
+    assert step(rig) is Step.HANG_UP
+    assert all(len(client.answers()) == 1 for client in clients)
+    rig.close()
+
+
+def test_signal_before_the_router_serves_leads_to_its_end():
+    lifecycle = Lifecycle(Kept())
+    assert lifecycle.enter(Phase.CLOSING) and not lifecycle.enter(Phase.SERVING)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -208,3 +208,11 @@
     link.hold(words.Run("b", "lookup", 100, None, None, b"SELECT"), 0)
     assert link.release(700).within == 30
     assert link.release(1_700).within <= 0
+
+
+def test_connection_that_failed_before_it_was_accepted_does_not_hold_up_the_next():
+    rig = Rig(FaultySystem(Fault("accept", "ECONNABORTED")))
+    client = rig.client(LOGIN + query(1))
+    rig.turn(4)  # no sweep in between
+    assert not rig.service.door.paused and client.answers() == ["served"]
+    rig.close()
