--- a/tests/rounds_by_hand.py
+++ b/tests/rounds_by_hand.py
@@ -174,7 +174,7 @@
     def __init__(self, system=SYSTEM, backlog=64, sockets=128, table=None, clock=None):
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=backlog)
         self.listener.setblocking(False)
-        self.door = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.door = socket.create_server(("127.0.0.1", 0), backlog=512)
         self.address = self.door.getsockname()
         table = table or deployment.table(sockets=sockets)
         table["settings"]["limits"]["probes"] = False
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -197,9 +197,9 @@
 
 
 def test_backlog_longer_than_one_round_takes_is_answered_whole():
-    rig = Rig(sockets=256)
+    rig = Rig(sockets=512)
     way = terminate(rig)
-    clients = [rig.client(LOGIN + query(n)) for n in range(ACCEPTS + 20)]
+    clients = [rig.client(LOGIN + query(n)) for n in range(3 * ACCEPTS)]
     go_to(rig, way.hang_up_by)
     assert step(rig) is Step.HANG_UP
     assert all(len(client.answers()) == 1 for client in clients)
