Sessions chosen for eviction are checked again before they are closed

Cause: MysqlFrontend.accept lists the sessions it may evict once, before its loop. Reading a new session in that loop may run a KILL QUERY, whose handling polls when the last poll is older than 20 ms and drops all clients that have left. The next listed session may be one of them, and evict_session_if_full looked it up with self.clients[number].

Change: a listed session is closed only if it may still be evicted (SessionLimiter.may_evict).

--- a/hillchute/fronts/mysql/door.py
+++ b/hillchute/fronts/mysql/door.py
@@ -200,11 +200,14 @@
         """Makes room for one more session by closing the next suitable one of `evictable`.
 
         Returns False if there is none. A session with unread input or with unsent bytes of an answer is kept:
-        an answer is complete only once the kernel has taken it.
+        an answer is complete only once the kernel has taken it. `evictable` may be outdated: starting a
+        session can run a cancellation, and with it a poll that drops other sessions.
         """
         if not self.session_limiter.full:
             return True
         for number in evictable:
+            if not self.session_limiter.may_evict(number):
+                continue
             client = self.clients[number]
             if not client.has_unread() and not (client.buffered_socket.unsent and not client.session.closing):
                 self.drop(client)
@@ -348,6 +351,8 @@
                 self.log.write("accept_failed", reason=str(error))
         now = self.clock()
         for number in self.session_limiter.timed_out_sessions(now):
+            if number not in self.session_limiter.incomplete_steps:
+                continue  # dropped meanwhile: reporting another client as gone can run a poll
             client = self.clients[number]
             if client.session.closing or client.buffered_socket.unsent:
                 self.drop(client)
--- a/hillchute/fronts/seats.py
+++ b/hillchute/fronts/seats.py
@@ -64,6 +64,10 @@
         yield from self.incomplete_steps
         yield from self.idle
 
+    def may_evict(self, session: int) -> bool:
+        """Whether the session would be among the eviction candidates now."""
+        return session in self.incomplete_steps or session in self.idle
+
     def timed_out_sessions(self, now: Time) -> list[int]:
         """Sessions whose current step has taken STEP_TIMEOUT or longer."""
         timed_out = []
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,6 +15,7 @@
 from hillchute.lab import deployment
 from hillchute.lab.faulty_system import FaultySystemCalls
 from hillchute.router import config
+from hillchute.router.service import MAX_POLL_AGE
 
 ORDERED_LOAD = {"route": "event-load", "entity": "ab", "patience": 8_000}
 VALID_ANSWERS = {"served", REFUSED[0], FAILED[0]}
@@ -303,6 +304,30 @@
     ) <= mysql_frontend.session_limiter.max_sessions
 
 
+def test_idle_client_that_leaves_while_connections_are_accepted_does_not_end_the_router(rig):
+    """Guards against KeyError in accept(): a session chosen for eviction was dropped by a poll in between."""
+    frontend, accept = rig.service.mysql_frontend, rig.system.accept
+    busy = client_with_query_in_flight(rig)
+    number = int.from_bytes(busy.read_payloads()[0].split(b"\0", 1)[1][:4], "little")
+    idle = [rig.connect_client() for _ in range(frontend.session_limiter.max_sessions - 1)]
+    rig.run_until(lambda: len(frontend.session_limiter.idle) == len(idle))
+    leaving = [idle[1]]  # the first is evicted for the client that cancels
+
+    def accept_while_idle_client_leaves(listener):
+        while leaving:
+            leaving.pop().close()
+            rig.advance_clock(2 * MAX_POLL_AGE / 10_000)  # so that the cancellation is preceded by a poll
+        return accept(listener)
+
+    rig.system.accept = accept_while_idle_client_leaves
+    rig.connect_client(LOGIN + packet(0, b"\x03KILL QUERY %d" % number))
+    newcomers = [rig.connect_client(LOGIN + query(id)) for id in (2, 3, 4)]
+    rig.answers_at_once = True
+    rig.run_until(lambda: all(client.answers() for client in newcomers))
+    assert not leaving and [client.answers() for client in newcomers] == [["served"]] * 3
+    assert not rig.log.faults() and len(frontend.clients) == frontend.session_limiter.max_sessions
+
+
 def test_client_that_never_reads_delays_no_other_client_and_is_closed_at_its_time_limit(rig):
     client = client_with_query_in_flight(rig)
     session = next(iter(rig.service.mysql_frontend.clients.values()))
--- a/tests/test_full_core.py
+++ b/tests/test_full_core.py
@@ -8,6 +8,7 @@
 from hillchute.decision.admission import MAX_LOOP_LAG
 from hillchute.decision.interface import SECOND
 from hillchute.fronts.mysql.door import Client, MysqlFrontend
+from hillchute.fronts.seats import STEP_TIMEOUT
 from hillchute.lab import slowloop
 from hillchute.net.system_calls import SYSTEM_CALLS
 from hillchute.router import loop_lag, round_schedule, shutdown
@@ -296,6 +297,23 @@
     assert frontend.evict_session_if_full(iter(()))  # there is a free place now
 
 
+def test_sweep_survives_a_session_that_is_dropped_while_another_is_reported_as_gone():
+    """Guards against KeyError in sweep(): handling a departed client can poll and drop further sessions."""
+    frontend = make_full_frontend(*[BufferedSocketStub(unsent=b"rows") for _ in range(3)])
+    frontend.clock = lambda: 2 * STEP_TIMEOUT
+    frontend.poller.resume = lambda: None
+    reported = []
+
+    def drop_the_next_one(session):
+        reported.append(session)
+        if session == 0:
+            frontend.drop(frontend.clients[1])
+
+    frontend.on_client_gone = drop_the_next_one
+    frontend.sweep()
+    assert reported == [0, 1, 2] and not frontend.clients and len(frontend.session_limiter) == 0
+
+
 def test_unread_sessions_are_checked_once_per_burst_of_new_connections():
     frontend = make_full_frontend(*[BufferedSocketStub(unread=True) for _ in range(5)], BufferedSocketStub())
     candidates = iter(list(frontend.session_limiter.eviction_candidates()))
