A query whose client is dropped as it is taken is not started

Callers: nobody waits for the answer any more, but the query took a place among the open queries and was given attempts, each withdrawn only as it was about to be written (trace: two attempts with result not_sent); a claim or a forwarded query has no such check.

EventLoop takes a query from the schedule and passes it to Service.handle, which polls first if the last poll is older than 20 ms. The poll may drop the client of this very query, which is then neither in the schedule nor in the reducer, so that nothing withdraws it.

Change: the loop polls before it passes a query on and skips one whose session is gone. The age of the last poll is checked in one place, the event loop.

--- a/hillchute/router/event_loop.py
+++ b/hillchute/router/event_loop.py
@@ -28,6 +28,7 @@
 
 SWEEP_INTERVAL = 0.1  # seconds between two checks for sessions that exceed the limit of 2 s for one step
 CLIENTS_PER_ALARM_CHECK = 32  # clients read between two checks of the alarm: about 2 ms
+MAX_POLL_AGE: Time = 200  # 20 ms: events that come later than this after a poll trigger another
 PAUSE_THRESHOLD: Time = 500  # 50 ms without a poll: clients are then read before the alarm is handled
 LOGGED_ALARM_LAG: Time = 500  # 50 ms: alarms handled later than this are logged
 
@@ -133,8 +134,12 @@
         return ReadySockets(clients, links, listener)
 
     def drop_disconnected_clients(self) -> None:
-        """Drops clients that have closed their connections; other input is left for the next round."""
-        self._drop_disconnected(self._poll().clients)
+        """Drops clients that have closed their connections, unless the last poll was within MAX_POLL_AGE.
+
+        Other input is left for the next round.
+        """
+        if self.clock() - self.polled_at > MAX_POLL_AGE:
+            self._drop_disconnected(self._poll().clients)
 
     def _drop_disconnected(self, clients: dict[Client, ReadySocket]) -> None:
         """Drops all disconnected clients before handling the resulting events.
@@ -188,6 +193,9 @@
         """Takes due queries, at least one if there are any, until the time budget is spent."""
         began = self.clock()
         for count, query in enumerate(self.rounds.take_queries(began)):
+            self.drop_disconnected_clients()
+            if query.session not in self.mysql_frontend.clients:
+                continue  # its client was dropped after the query was taken from the schedule
             now = self.clock()
             self.loop_lag.record_query_delay(now, now - query.ready_at)
             self.handle(QueryReceived(query.session, query.request, query.received_at))
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -12,7 +12,7 @@
 import anyio
 import anyio.abc
 
-from hillchute.decision.interface import QueryId, Time
+from hillchute.decision.interface import QueryId
 from hillchute.decision.scheduler import QueryScheduler
 from hillchute.discovery.watcher import EndpointWatcher
 from hillchute.engines.line.links import LineConnections
@@ -40,7 +40,6 @@
 from hillchute.router.shutdown import ShutdownStep
 from hillchute.router.signal_handling import SignalReceiver
 
-MAX_POLL_AGE: Time = 200  # 20 ms: events that come later than this after a poll trigger another
 SHUTDOWN_STEP_INTERVAL = 0.01  # seconds between two steps of the shutdown
 FLIGHT_CLOSE_GRACE = 0.3  # seconds that open calls of the Flight SQL frontend get at shutdown
 # Garbage collection thresholds by generation; a few queries reach the interpreter's default of 700 objects.
@@ -221,10 +220,10 @@
     def handle(self, event: Event) -> None:
         """Handles one event of any component.
 
-        Polls first if the last poll is older than MAX_POLL_AGE, so that nothing is started for clients that
-        left before, even if a timer or an engine's message comes first after a pause.
+        Polls first if the last poll is not recent, so that nothing is started for clients that left before,
+        even if a timer or an engine's message comes first after a pause.
         """
-        if not self.executor.busy and self.clock() - self.event_loop.polled_at > MAX_POLL_AGE:
+        if not self.executor.busy:
             self.event_loop.drop_disconnected_clients()
         self.executor.handle(event)
 
@@ -242,9 +241,8 @@
         self.handle(StreamUnreadable(session, reason))
 
     def client_is_waiting(self, query_id: QueryId) -> bool:
-        """Whether the client of a query waits for its answer, as of a poll at most MAX_POLL_AGE ago."""
-        if self.clock() - self.event_loop.polled_at > MAX_POLL_AGE:
-            self.event_loop.drop_disconnected_clients()
+        """Whether the client of a query waits for its answer, as of a recent poll."""
+        self.event_loop.drop_disconnected_clients()
         session = self.reducer.waiting_session(query_id)
         if session is None:
             return False
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,7 +15,7 @@
 from hillchute.lab import deployment
 from hillchute.lab.faulty_system import FaultySystemCalls
 from hillchute.router import config
-from hillchute.router.service import MAX_POLL_AGE
+from hillchute.router.event_loop import MAX_POLL_AGE
 
 ORDERED_LOAD = {"route": "event-load", "entity": "ab", "patience": 8_000}
 VALID_ANSWERS = {"served", REFUSED[0], FAILED[0]}
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -6,7 +6,9 @@
 from rounds_by_hand import LOGIN, PING, RouterHarness, packet, query
 
 from hillchute.decision.interface import EndpointState
+from hillchute.fronts.events import QueryReceived
 from hillchute.fronts.mysql.packets import MAX_QUEUED_COMMANDS
+from hillchute.router.event_loop import MAX_POLL_AGE
 
 KEYED = {"route": "event-load", "entity": "ab", "patience": 8_000}
 HALF_COMMAND = query(99)[:20]
@@ -131,6 +133,28 @@
     assert rig.received_attempts == [] and not rig.service.reducer.unanswered
 
 
+def test_query_whose_client_is_found_gone_as_it_is_taken_is_not_started(rig):
+    """Guards against a query that is started although the poll right before it has dropped its client."""
+    clients = {ids(1)[0]: rig.client_after_served_query(), ids(2)[0]: rig.connect_client()}
+    rig.run_rounds(3)
+    handle, taken = rig.service.executor.handle, []
+
+    def handle_while_the_other_client_leaves(event):
+        handle(event)
+        if isinstance(event, QueryReceived):
+            taken.append(event.request.id)
+            next(client for id, client in clients.items() if id != taken[0]).close()
+            rig.advance_clock(2 * MAX_POLL_AGE / 10_000)
+
+    rig.service.executor.handle = handle_while_the_other_client_leaves
+    for number, client in enumerate(clients.values(), start=1):
+        client.write(query(number))
+    rig.run_until(lambda: taken and clients[taken[0]].answers()[-1:] == ["served"])
+    rig.run_rounds(3)
+    assert len(taken) == 1 and rig.received_attempts == taken
+    assert not rig.service.reducer.queries and len(rig.service.mysql_frontend.clients) == 1
+
+
 def test_connected_client_is_served_after_the_same_pause(rig):
     client = rig.client_after_served_query()
     rig.service.reducer.scheduler.engines[1].ejected_until = rig.clock() + 2_000
