An exception in one client's, engine's or peer's handling ends no router

Cause: a connection reset in the backlog is accepted but has no peer address, for which anyio's SocketStream.from_socket raises ValueError. The lab's line engine ended the whole lab by the same connect and reset.

Change: wrap_accepted_socket turns the ValueError into a broken connection; FaultBarrier moves to net/ and stands around each task, step of a round and session. A fault ends the session, connection, stream or step it is in. Each `fault` line has `count`, the number of faults of its source. A fault in a Flight SQL call aborts the call with INTERNAL and is logged; one in a Flight SQL engine's connection reports the connection as lost.

--- a/hillchute/discovery/watcher.py
+++ b/hillchute/discovery/watcher.py
@@ -11,6 +11,7 @@
 from hillchute.discovery.event_bus import WatchEvent, WatchEventDecoder, encode_subscription
 from hillchute.errors import EventBusProtocolError
 from hillchute.log import Log
+from hillchute.net.fault_barrier import FaultReport
 
 RECEIVE_BYTES = 65_536
 IDLE_TIMEOUT = 2.5  # seconds; the event bus sends a frame every second, so a slower connection is dead
@@ -37,9 +38,13 @@
         on_event: Callable[[WatchEvent], None],
         last_offset: Callable[[], int],
         jittered: Callable[[float], float],
+        on_fault: FaultReport,
     ) -> None:
         """`last_offset` returns the offset of the last applied event.
 
+        `on_fault` is called with any other exception than those that a connection may raise; the watch then
+        reconnects, as after the loss of its connection.
+
         `jittered` adds jitter to a retry delay in seconds: routers that lose the event bus at the same
         instant must not reconnect at the same instant.
         """
@@ -47,6 +52,7 @@
         self.on_event = on_event
         self.last_offset = last_offset
         self.jittered = jittered
+        self.on_fault = on_fault
         self.scopes: list[anyio.CancelScope] = []  # one for each watch, the newest last
 
     def watch(self, address: tuple[str, int], tasks: anyio.abc.TaskGroup) -> None:
@@ -62,6 +68,8 @@
                     await self._receive_events(address, scope)
                 except (*CONNECTION_ERRORS, EventBusProtocolError) as error:
                     self._log_lost_connection(error)
+                except Exception as error:  # noqa: BLE001 - the watch must go on
+                    self.on_fault("endpoint_watch", error)
                 if scope is not self.scopes[-1]:
                     # The address has changed. A newer watch that has just connected may already have
                     # removed this scope.
--- a/hillchute/engines/flight/links.py
+++ b/hillchute/engines/flight/links.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Mapping
+from typing import NamedTuple
 
 import anyio
 import anyio.abc
@@ -15,6 +16,7 @@
 
 from hillchute.engines import events, words
 from hillchute.log import Log
+from hillchute.net.fault_barrier import FaultReport
 from hillchute.protocol import Flight_pb2 as flight
 from hillchute.protocol import FlightSql_pb2 as sql
 from hillchute.protocol import sql as arrow
@@ -140,6 +142,13 @@
         self.emit(words.RunEnded(id, result, cpu_ms, report))
 
 
+class ConnectionLimits(NamedTuple):
+    """Time limits of a connection, in tenths of a millisecond."""
+
+    connect_timeout: int
+    silence_limit: int  # the reducer closes a connection after so long without a message
+
+
 class FlightConnections:
     """All connections to engines. `handle` receives their events."""
 
@@ -148,19 +157,13 @@
         settings: Mapping[str, object],
         log: Log,
         handle: Callable[[events.Event], None],
-        connect_timeout: int,
-        silence_limit: int,
+        limits: ConnectionLimits,
+        on_fault: FaultReport,
     ) -> None:
-        """`settings` are those under `engines` in the operator file.
-
-        The reducer closes a connection after `silence_limit` without a message. Both times are in tenths of a
-        millisecond.
-        """
-        self.settings, self.log, self.handle = settings, log, handle
-        self.connect_timeout, self.liveness_interval = (
-            connect_timeout,
-            max(0.05, silence_limit / SECOND / LIVENESS_REPORTS),  # seconds
-        )
+        """`settings` are those under `engines` in the operator file."""
+        self.settings, self.log, self.handle, self.on_fault = settings, log, handle, on_fault
+        self.connect_timeout = limits.connect_timeout
+        self.liveness_interval = max(0.05, limits.silence_limit / SECOND / LIVENESS_REPORTS)  # seconds
         self.connections: dict[int, FlightConnection] = {}  # by number
         self.tasks: anyio.abc.TaskGroup
 
@@ -187,7 +190,7 @@
             if self.tasks.cancel_scope.cancel_called:
                 raise
         except Exception as error:
-            self.log.write("fault", what=function.__name__, reason=repr(error))
+            self.on_fault(function.__name__, error)
 
     def create_channel(self, address: str) -> grpc.aio.Channel:
         options = [
@@ -207,6 +210,14 @@
         return grpc.aio.secure_channel(address, credentials, options=options)
 
     async def run_connection(self, connection: FlightConnection, address: str) -> None:
+        """Serves a connection; one whose handling raises an exception is reported as lost."""
+        try:
+            await self.serve_connection(connection, address)
+        except Exception as error:
+            self.on_fault("run_connection", error)
+            await self.end_connection(connection, "internal error")
+
+    async def serve_connection(self, connection: FlightConnection, address: str) -> None:
         """Connects, reports the channel as alive while it is open, and reports when it is lost."""
         end_reason = "closed by the router"
         with connection.scope:
@@ -226,6 +237,13 @@
             connection.is_open = True
             self.handle(events.Connected(connection.number))
             end_reason = await self.watch_channel(connection)
+        await self.end_connection(connection, end_reason)
+
+    async def end_connection(self, connection: FlightConnection, reason: str) -> None:
+        """Ends the runs and streams of a connection, closes its channel, and reports it as lost.
+
+        Nothing is reported after close_connection().
+        """
         connection.is_open = False
         known = self.connections.pop(connection.number, None) is not None  # false after close_connection()
         for scope in list(connection.run_scopes.values()):
@@ -235,7 +253,7 @@
         with anyio.CancelScope(shield=True):
             await self.close_channel(connection)
         if known:
-            self.handle(events.ConnectionLost(connection.number, end_reason))
+            self.handle(events.ConnectionLost(connection.number, reason))
 
     async def close_channel(self, connection: FlightConnection) -> None:
         if connection.channel is not None:
@@ -324,7 +342,7 @@
                 # gRPC raises the cancellation of a call in the task that awaits it: only this run ends.
                 self.end_run(connection, run, "severed", None)
             except Exception as error:
-                self.log.write("fault", what=f"run on connection {connection.number}", reason=repr(error))
+                self.on_fault("run", error)
                 self.end_run(connection, run, "severed", None)
             except arrow.InvalidFlightDataError as error:
                 self.log.write("result_unreadable", connection=connection.number, reason=str(error))
--- a/hillchute/fronts/flight/server.py
+++ b/hillchute/fronts/flight/server.py
@@ -23,6 +23,7 @@
 from hillchute.fronts.flight.identity import ANONYMOUS, AuthenticationError, Authenticator
 from hillchute.fronts.flight.tickets import InvalidTokenError, LimitReachedError, TokenTable
 from hillchute.log import Log
+from hillchute.net.fault_barrier import FaultReport
 from hillchute.protocol import Flight_pb2 as flight
 from hillchute.protocol import FlightSql_pb2 as sql
 from hillchute.protocol import sql as arrow
@@ -65,9 +66,14 @@
         log: Log,
         clock: Callable[[], int],
         handle: Callable[[events.Event], None],
+        on_fault: FaultReport,
     ) -> None:
-        """`settings`: `flight` of the operator file; `tables`: the resource groups by name."""
+        """`settings`: `flight` of the operator file; `tables`: the resource groups by name.
+
+        `on_fault` is called with an exception in one call, which is then aborted.
+        """
         self.settings, self.log, self.clock, self.handle = settings, log, clock, handle
+        self.on_fault = on_fault
         key = secrets.token_bytes(32)
         self.authenticator = Authenticator(settings["users"], key)
         self.tickets: TokenTable[Request] = TokenTable(key, settings["tickets"], settings["ticket_ms"] * 10)
@@ -211,12 +217,19 @@
                 return error.status
         raise error
 
+    def status_of_fault(self, method: Callable, error: Exception) -> Status:
+        """Reports an exception in a call, and returns the status with which the call is aborted."""
+        self.on_fault(method.__name__, error)
+        return Status.of(answers.INTERNAL, "internal error of the router; the query may have run")
+
     def unary_handler(self, method: Callable) -> Callable:
         async def handle_call(data: bytes, context: grpc.aio.ServicerContext) -> bytes:
             try:
                 return await method(data, context)
             except CALL_ERRORS as error:
                 status = self.status_of(error)
+            except Exception as error:  # noqa: BLE001 - an exception ends only this call
+                status = self.status_of_fault(method, error)
             await self.abort(context, status)
 
         return handle_call
@@ -229,6 +242,8 @@
                     yield part
             except CALL_ERRORS as error:
                 status = self.status_of(error)
+            except Exception as error:  # noqa: BLE001 - an exception ends only this call
+                status = self.status_of_fault(method, error)
             if status is not None:
                 await self.abort(context, status)
 
--- a/hillchute/fronts/mysql/door.py
+++ b/hillchute/fronts/mysql/door.py
@@ -19,6 +19,7 @@
 from hillchute.fronts.seats import SessionLimiter
 from hillchute.log import Log
 from hillchute.net.buffered_socket import BufferedSocket
+from hillchute.net.fault_barrier import FaultBarrier, FaultReport
 from hillchute.net.poller import Poller
 from hillchute.net.system_calls import ABORTED_CONNECTION_ERRNOS
 from hillchute.statements import request as statements
@@ -84,7 +85,7 @@
     `on_client_gone` is called with the session of a client that cancelled its query or closed its connection.
     `answer_margin` returns how long before the end of a client timeout an answer must be sent.
     `on_stream_delivered` is called when a stream is delivered, `on_stream_unreadable` when a stream can't be
-    decoded.
+    decoded. `on_fault` is called with an exception in the handling of one session, which is then closed.
     """
 
     def __init__(
@@ -99,7 +100,9 @@
         answer_margin: Callable[[int], int],
         on_stream_delivered: Callable[[int], None],
         on_stream_unreadable: Callable[[int, str], None],
+        on_fault: FaultReport,
     ) -> None:
+        self.on_fault = on_fault
         self.session_limiter = SessionLimiter(max_sessions)
         self.max_packet_bytes = max_packet_bytes
         self.poller, self.rounds, self.log, self.clock, self.on_client_gone = (
@@ -163,9 +166,23 @@
                 self.pause(error)
                 return False
             self.rounds.last_client_activity = self.clock()
-            self.start_session(sock, self.evict_session_if_full(evictable))
+            try:
+                self.start_session(sock, self.evict_session_if_full(evictable))
+            except Exception as error:  # noqa: BLE001 - an exception ends only this session
+                self.on_fault("start_session", error)
+                self.discard_connection(sock)
         return False
 
+    def discard_connection(self, sock: socket.socket) -> None:
+        """Closes a connection whose session could not be started, or only in part."""
+        client = self.clients.get(self.last_session)
+        with FaultBarrier("discard_connection", self.on_fault):
+            if client is not None and client.buffered_socket.sock is sock:
+                self.drop(client)
+            else:
+                self.poller.remove(sock)
+                self.system.close(sock)
+
     def pause(self, error: OSError) -> None:
         """Suspends accepting for lack of descriptors or memory; sweep() resumes it."""
         self.paused = True
@@ -349,25 +366,40 @@
                 self.paused = False
             except OSError as error:
                 self.log.write("accept_failed", reason=str(error))
-        now = self.clock()
-        for number in self.session_limiter.timed_out_sessions(now):
+        for number in self.session_limiter.timed_out_sessions(self.clock()):
             if number not in self.session_limiter.incomplete_steps:
                 continue  # dropped meanwhile: reporting another client as gone can run a poll
             client = self.clients[number]
-            if client.session.closing or client.buffered_socket.unsent:
-                self.drop(client)
-                continue
-            client.buffered_socket.write(
-                client.session.close(packets.MALFORMED, "a packet was not complete in time")
-            )
-            self.session_limiter.remove(number)
-            self.update_state(client)
+            try:
+                self.end_timed_out_session(client)
+            except Exception as error:  # noqa: BLE001 - an exception ends only this session
+                self.end_faulty_session(client, error)
+
+    def end_timed_out_session(self, client: Client) -> None:
+        """Ends a session with an error, or drops one that has not been closed or read after that."""
+        if client.session.closing or client.buffered_socket.unsent:
+            self.drop(client)
+            return
+        client.buffered_socket.write(
+            client.session.close(packets.MALFORMED, "a packet was not complete in time")
+        )
+        self.session_limiter.remove(client.number)
+        self.update_state(client)
+
+    def end_faulty_session(self, client: Client, error: Exception) -> None:
+        """Reports an exception in the handling of a session, and drops the session."""
+        self.on_fault(type(client).__name__, error)
+        with FaultBarrier("drop_session", self.on_fault):
+            self.drop(client)
 
     def close_sessions(self) -> None:
         """Ends every session from this side once its remaining output is sent."""
         for client in list(self.clients.values()):
-            client.session.closing = True
-            self.update_state(client)
+            try:
+                client.session.closing = True
+                self.update_state(client)
+            except Exception as error:  # noqa: BLE001 - an exception ends only this session
+                self.end_faulty_session(client, error)
 
     def sessions_with_unsent_output(self) -> int:
         """The number of sessions with output that the kernel has not taken."""
--- a/hillchute/lab/between.py
+++ b/hillchute/lab/between.py
@@ -13,6 +13,8 @@
 import anyio
 import anyio.abc
 
+from hillchute.net.accepted_stream import wrap_accepted_socket
+
 MAX_DATAGRAM_BYTES = 65_536
 STREAM_ENDED = (anyio.EndOfStream, anyio.ClosedResourceError, anyio.BrokenResourceError, OSError)
 
@@ -134,7 +136,7 @@
         """Copies bytes in both directions until either side ends or a fault breaks the stream."""
         self.counts["streams"] += 1
         try:
-            async with await anyio.abc.SocketStream.from_socket(client) as near:
+            async with await wrap_accepted_socket(client) as near:
                 if channel.cut:
                     return
                 async with await anyio.connect_tcp(*channel.target) as far:
--- a/hillchute/lab/fleet.py
+++ b/hillchute/lab/fleet.py
@@ -18,7 +18,9 @@
 
 from hillchute.lab import deployment
 from hillchute.lab.line_engine import LineEngine
+from hillchute.lab.stand_in_faults import print_fault
 from hillchute.lab.world import Engine, EngineWorld
+from hillchute.net.fault_barrier import FaultBarrier
 
 FRAME_HEADER = struct.Struct(">IQB")
 ENDPOINT_RECORD = struct.Struct(">I4sHBBBHIQ")
@@ -51,7 +53,12 @@
         async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener:
             self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
             task_status.started()
-            await listener.serve(self.serve_subscriber)
+            await listener.serve(self.serve_guarded)
+
+    async def serve_guarded(self, stream: anyio.abc.SocketStream) -> None:
+        """Serves a subscriber; whatever it sends, it ends no other subscription."""
+        with FaultBarrier("event bus", print_fault):
+            await self.serve_subscriber(stream)
 
     async def serve_subscriber(self, stream: anyio.abc.SocketStream) -> None:
         try:
--- a/hillchute/lab/line_engine.py
+++ b/hillchute/lab/line_engine.py
@@ -8,7 +8,9 @@
 import anyio
 import anyio.abc
 
+from hillchute.lab.stand_in_faults import print_fault
 from hillchute.lab.world import Engine, EngineFullError, RunFailedError, StatementBehaviour
+from hillchute.net.fault_barrier import FaultBarrier
 
 PAGE_BYTES = 6_000  # most bytes of a result page in the protocol
 COMMAND = re.compile(rb"([a-z_]+) ([^\r\n]*)\r\n")
@@ -27,14 +29,23 @@
         async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener:
             self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
             task_status.started()
-            await listener.serve(self.serve_connection)
+            await listener.serve(self.serve_guarded)
+
+    async def serve_guarded(self, stream: anyio.abc.SocketStream) -> None:
+        """Serves a connection; whatever a client sends, it ends no other connection."""
+        with FaultBarrier("line engine", print_fault):
+            await self.serve_connection(stream)
 
     async def serve_connection(self, stream: anyio.abc.SocketStream) -> None:
+        remote_port = stream.extra(anyio.abc.SocketAttribute.remote_port, None)
+        if remote_port is None:  # the client has reset the connection already
+            await stream.aclose()
+            return
         self.streams.add(stream)
         world = self.engine.world
         world.connection_count += 1
         number = world.connection_count
-        world.open_connections[number] = stream.extra(anyio.abc.SocketAttribute.remote_port)
+        world.open_connections[number] = remote_port
         connection = Connection(self, stream, number)
         try:
             async with anyio.create_task_group() as connection.tasks:
--- a/hillchute/peers/transport.py
+++ b/hillchute/peers/transport.py
@@ -7,12 +7,9 @@
 import socket
 import struct
 import time
-import traceback
 from collections import Counter, deque
-from collections.abc import Callable, Iterable, Mapping
-from contextlib import AbstractContextManager
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass
-from types import TracebackType
 from typing import NamedTuple
 
 import anyio
@@ -21,7 +18,9 @@
 
 from hillchute.decision.interface import Time
 from hillchute.errors import PeerListenError
+from hillchute.net.accepted_stream import wrap_accepted_socket
 from hillchute.net.clock import round_up_to_time_units
+from hillchute.net.fault_barrier import FaultBarrier, FaultReport
 from hillchute.net.system_calls import ABORTED_CONNECTION_ERRNOS, TRANSIENT_ERRNOS
 from hillchute.peers.datagrams import MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES
 from hillchute.peers.fragmentation import DATAGRAM_FRAGMENT_BYTES
@@ -37,7 +36,6 @@
 MAX_QUEUED_MESSAGES = 256  # for a stream to one peer; more are dropped, like lost datagrams
 FRAME_LENGTH = struct.Struct(">H")
 RECEIVE_BUFFER_BYTES = 262_144  # SO_RCVBUF, for datagrams that arrive while the event loop is busy
-TRACEBACK_FRAMES = -6  # the innermost frames are logged
 STREAM_ERRORS = (
     anyio.EndOfStream,
     anyio.IncompleteRead,
@@ -79,32 +77,16 @@
 
     due_payloads: Callable[[Time], Iterable[tuple[str, bytes]]]  # the receivers and payloads to be sent now
     on_change: Callable[[], None]  # something was received, or a tick has passed
-    on_fault: Callable[[str], None]  # called with the traceback of an exception that ended one call
+    on_fault: FaultReport
 
 
-class FaultBarrier(AbstractContextManager[None]):
-    """Suppresses any Exception in its block and reports the traceback.
+class PeerTransport:
+    """Sends and receives a node's datagrams over UDP, and long messages over TCP streams.
 
-    A router also serves without its peers, so a fault in the peer protocol must not end it. Cancellation is
-    not suppressed.
+    A router also serves without its peers, so an exception in the peer protocol ends only the call or the
+    stream that raised it.
     """
 
-    def __init__(self, report: Callable[[str], None]) -> None:
-        self.report = report
-
-    def __exit__(
-        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
-    ) -> bool:
-        """Whether the exception is suppressed."""
-        if not isinstance(error, Exception):
-            return False
-        self.report("".join(traceback.format_exception(error, limit=TRACEBACK_FRAMES)))
-        return True
-
-
-class PeerTransport:
-    """Sends and receives a node's datagrams over UDP, and long messages over TCP streams."""
-
     def __init__(
         self,
         listen_address: Address,
@@ -206,9 +188,12 @@
 
     def _guarded(self, call: Callable[..., None], *arguments: object) -> None:
         """Makes a call whose exceptions must not end the router."""
-        with FaultBarrier(self.callbacks.on_fault):
+        with self._barrier(call.__name__):
             call(*arguments)
 
+    def _barrier(self, source: str) -> FaultBarrier:
+        return FaultBarrier(f"peers: {source}", self.callbacks.on_fault)
+
     # ---- datagrams --------------------------------------------------------------------------------
 
     def _send(self, datagrams: Iterable[AddressedDatagram]) -> None:
@@ -251,7 +236,7 @@
             requests = self.node.state_requests
             self.node.state_requests = []
             for name in requests:
-                tasks.start_soon(self._request_state, name)
+                tasks.start_soon(self._run_guarded, self._request_state, name)
             await anyio.sleep(TICK_INTERVAL)
 
     def _tick(self) -> None:
@@ -291,13 +276,18 @@
                 self.counts["streams refused"] += 1
                 continue
             sock.setblocking(False)
-            tasks.start_soon(self._serve_stream, sock)
+            tasks.start_soon(self._run_guarded, self._serve_stream, sock)
+
+    async def _run_guarded(self, function: Callable[..., Awaitable[None]], *arguments: object) -> None:
+        """Runs a task whose exceptions must not end the router."""
+        with self._barrier(function.__name__):
+            await function(*arguments)
 
     async def _serve_stream(self, sock: socket.socket) -> None:
         """Serves one stream: a state request, which is answered, or messages, which are not."""
         async with self.inbound_streams:
             try:
-                async with await anyio.abc.SocketStream.from_socket(sock) as stream:
+                async with await wrap_accepted_socket(sock) as stream:
                     with anyio.move_on_after(STREAM_TIMEOUT):
                         await self._answer_frames(stream)
                         self.callbacks.on_change()
@@ -351,7 +341,7 @@
     async def _send_by_stream(self, name: str, queue: deque[QueuedMessage]) -> None:
         """Sends the queue over one stream; subsystems repeat what a broken stream loses."""
         try:
-            with FaultBarrier(self.callbacks.on_fault):
+            with self._barrier("_send_by_stream"):
                 await self._send_queue(name, queue)
         finally:
             self.outbound_queues.pop(name, None)
--- a/hillchute/router/effect_executor.py
+++ b/hillchute/router/effect_executor.py
@@ -102,8 +102,13 @@
         """Reduces one event. Commands for an engine connection are sent together, after all other effects."""
         now = self.clock()
         self.trace.record(now, describe(event))
+        try:
+            effects = self.reducer.reduce(event, now)
+        except Exception as error:  # noqa: BLE001 - an exception in one event must not end its sender
+            self.faults.write(type(event).__name__, error)
+            return
         commands: dict[int, list[words.Command]] = {}
-        for effect in self.reducer.reduce(event, now):
+        for effect in effects:
             if isinstance(effect, SendCommand):
                 commands.setdefault(effect.connection, []).append(effect.command)
                 continue
@@ -172,9 +177,12 @@
         self.extension.carry_out(effect)
 
     def _write_log(self, event: str, fields: dict[str, object]) -> None:
-        self.log.write(event, **fields)
-        if event == "fault":
-            self.faults.write_trace()
+        if event != "fault":
+            self.log.write(event, **fields)
+            return
+        count = self.faults.count(str(fields.get("what")))
+        self.log.write(event, **fields, count=count)
+        self.faults.write_trace()
 
     # ---- streams ----------------------------------------------------------------------------------
 
@@ -195,6 +203,6 @@
         except BaseException as error:
             if not isinstance(error, Exception) and self.tasks.cancel_scope.cancel_called:
                 raise
-            self.log.write("fault", what=f"stream of {session}", reason=repr(error))
+            self.faults.write("deliver_stream", error)
             stream.close()
             self.handle(StreamUnreadable(session, "a fault of ours"))
--- a/hillchute/router/event_loop.py
+++ b/hillchute/router/event_loop.py
@@ -18,6 +18,7 @@
 from hillchute.fronts.mysql.door import Client, MysqlFrontend
 from hillchute.log import Log
 from hillchute.net.clock import Clock
+from hillchute.net.fault_barrier import FaultBarrier
 from hillchute.net.poller import Poller, ReadySocket
 from hillchute.router.alarm import Alarm
 from hillchute.router.effect_executor import EffectExecutor
@@ -45,7 +46,8 @@
 class EventLoop:
     """Runs rounds: round() runs one, run() one after another.
 
-    An exception in one session or connection is logged and ends only that session or connection.
+    An exception in one session or connection is logged and ends only that session or connection; one in
+    another step of a round ends only that step. Only a poller that fails ends run().
     """
 
     poller: Poller
@@ -88,7 +90,8 @@
         """Ends sessions that exceed the time limit of one protocol step, forever."""
         while True:
             await anyio.sleep(SWEEP_INTERVAL)
-            self.mysql_frontend.sweep()
+            with FaultBarrier("sweep", self.faults.write):
+                self.mysql_frontend.sweep()
 
     # ---- rounds -----------------------------------------------------------------------------------
 
@@ -103,21 +106,28 @@
             self._read_clients(clients)
             clients = {}
             if listener_ready:
-                self.mysql_frontend.accept(self.rounds.accept_limit)
+                self._accept()
                 listener_ready = not self.mysql_frontend.paused
         self.check_alarm(began)
         self._read_engines(links, began)
         self._read_clients(clients)
         self.rounds.record_sockets_read(began, listener_ready or self.mysql_frontend.paused)
-        self._take_queries()
+        with FaultBarrier("take_queries", self.faults.write):
+            self._take_queries()
         if listener_ready:
             before = self.clock()
-            backlog_empty = self.mysql_frontend.accept(self.rounds.accept_limit)
+            backlog_empty = self._accept()
             self.rounds.record_connections_accepted(before, backlog_empty=backlog_empty)
         ended = self.clock()
         if ended - began > ENGINE_READ_BUDGET + QUERY_BUDGET:
             self.loop_lag.record_lag(ended, ended - began)
 
+    def _accept(self) -> bool:
+        """Accepts connections up to this round's limit; returns whether the backlog is empty."""
+        with FaultBarrier("accept", self.faults.write):
+            return self.mysql_frontend.accept(self.rounds.accept_limit)
+        return False
+
     def _poll(self) -> ReadySockets:
         self.polled_at = self.clock()
         clients: dict[Client, ReadySocket] = {}
@@ -156,7 +166,7 @@
                 try:
                     self.mysql_frontend.ended(client)
                 except Exception as error:  # noqa: BLE001 - an exception ends only this session
-                    self._end_faulty_session(client, error)
+                    self.mysql_frontend.end_faulty_session(client, error)
 
     def _read_clients(self, clients: dict[Client, ReadySocket]) -> None:
         for count, (client, ready) in enumerate(clients.items(), start=1):
@@ -167,11 +177,7 @@
             try:
                 self.mysql_frontend.ready(client, ready.readable, ready.writable, ready.ended)
             except Exception as error:  # noqa: BLE001 - an exception ends only this session
-                self._end_faulty_session(client, error)
-
-    def _end_faulty_session(self, client: Client, error: Exception) -> None:
-        self.faults.write(type(client).__name__, error)
-        self.mysql_frontend.drop(client)
+                self.mysql_frontend.end_faulty_session(client, error)
 
     def _read_engines(self, links: dict[LineConnection, ReadySocket], began: Time) -> None:
         """Reads engine connections, least recently served first, until the budget since `began` is spent."""
@@ -187,7 +193,8 @@
                 self.line_links.ready(link, ready.readable, ready.writable)
             except Exception as error:  # noqa: BLE001 - an exception ends only this connection
                 self.faults.write(type(link).__name__, error)
-                self.line_links.drop(link, "internal error")
+                with FaultBarrier("drop_connection", self.faults.write):
+                    self.line_links.drop(link, "internal error")
 
     def _take_queries(self) -> None:
         """Takes due queries, at least one if there are any, until the time budget is spent."""
@@ -211,4 +218,5 @@
         if lag > LOGGED_ALARM_LAG:
             self.log.write("loop_lag", ms=lag / MILLISECOND)
         self.alarm.clear()
-        self.handle(AlarmDue())
+        with FaultBarrier("alarm", self.faults.write):
+            self.handle(AlarmDue())
--- a/hillchute/router/fault_log.py
+++ b/hillchute/router/fault_log.py
@@ -1,6 +1,7 @@
-"""Logs internal faults: what failed, and the events just before it."""
+"""Logs and counts internal faults: what failed, and the events just before it."""
 
 import traceback
+from collections import Counter
 
 from hillchute.decision.interface import SECOND, Time
 from hillchute.log import Log
@@ -13,20 +14,29 @@
 
 
 class FaultLog:
-    """Logs faults with their tracebacks, and the event trace at most once a second."""
+    """Logs faults with their tracebacks and their number, and the event trace at most once a second."""
 
     def __init__(self, log: Log, trace: EventTrace, clock: Clock) -> None:
         self.log = log
         self.trace = trace
         self.clock = clock
         self.trace_written_at: Time = 0
+        self.counts: Counter[str] = Counter()  # since the start, by source
 
-    def write(self, source: str, error: Exception) -> None:
-        """Logs the exception being handled; `source` names the call or the object that failed."""
-        stack = traceback.format_exc(limit=TRACEBACK_FRAMES)
-        self.log.write("fault", what=source, reason=repr(error), trace=stack)
+    def write(self, source: str, error: BaseException) -> None:
+        """Logs and counts an exception; `source` names the call or the object that failed.
+
+        The log limits the lines per second, so that `count` may rise by more than one from line to line.
+        """
+        stack = "".join(traceback.format_exception(error, limit=TRACEBACK_FRAMES))
+        self.log.write("fault", what=source, count=self.count(source), reason=repr(error), trace=stack)
         self.write_trace()
 
+    def count(self, source: str) -> int:
+        """Counts a fault of this source; returns how many there have been."""
+        self.counts[source] += 1
+        return self.counts[source]
+
     def write_trace(self) -> None:
         """Logs the last events, unless this was done within the last second."""
         now = self.clock()
--- a/hillchute/router/graceful_shutdown.py
+++ b/hillchute/router/graceful_shutdown.py
@@ -11,9 +11,11 @@
 from hillchute.fronts.mysql.door import MysqlFrontend
 from hillchute.log import Log
 from hillchute.net.clock import Clock
+from hillchute.net.fault_barrier import FaultBarrier
 from hillchute.router.effect_executor import EffectExecutor
 from hillchute.router.event_loop import EventLoop
 from hillchute.router.events import Event, ShutdownStarted
+from hillchute.router.fault_log import FaultLog
 from hillchute.router.integrations.interface import RouterExtension
 from hillchute.router.lifecycle import Lifecycle, Phase
 from hillchute.router.reducer import Reducer
@@ -35,6 +37,7 @@
     extension: RouterExtension | None
     signals: SignalReceiver
     lifecycle: Lifecycle
+    faults: FaultLog
     log: Log
     clock: Clock
     handle: Callable[[Event], None]  # Service.handle
@@ -50,7 +53,8 @@
         self.log.write("shutdown", signalled_ms_ago=signalled_ms_ago, exit_in_ms=exit_in_ms)
         self.handle(ShutdownStarted(schedule.answer_by))
         if self.extension is not None:
-            self.extension.begin_shutdown()
+            with FaultBarrier("begin_shutdown", self.faults.write):
+                self.extension.begin_shutdown()
 
     def advance(self) -> ShutdownStep:
         """Runs a round and takes the step that is due after it; the round reads what the kernel has buffered.
@@ -63,7 +67,8 @@
         activity = self._client_activity()
         if self.schedule.sessions_closed_at is None and self.schedule.may_close_sessions(activity):
             # Connections in the backlog are accepted and read; if they have queries, closing is postponed.
-            self.mysql_frontend.accept(LISTEN_BACKLOG)
+            with FaultBarrier("accept", self.faults.write):
+                self.mysql_frontend.accept(LISTEN_BACKLOG)
             self.event_loop.round()
             activity = self._client_activity()
         step = self.schedule.next_step(activity, len(self.mysql_frontend.clients))
@@ -89,4 +94,5 @@
         """Rejects queries that were read but not taken: their order within a key was not known in time."""
         for session in list(self.rounds.pending):
             self.rounds.discard(session)
-            self.executor.frontend_of(session).reject(session, 0)
+            with FaultBarrier("reject", self.faults.write):
+                self.executor.frontend_of(session).reject(session, 0)
--- a/hillchute/router/integrations/peers.py
+++ b/hillchute/router/integrations/peers.py
@@ -16,6 +16,7 @@
 from hillchute.decision.scheduler import QueryScheduler
 from hillchute.errors import ClockBehindError, PeerListMismatchError
 from hillchute.log import Log
+from hillchute.net.fault_barrier import FaultReport
 from hillchute.peers.datagrams import DropReason
 from hillchute.peers.node import Node, RouterIdentity
 from hillchute.peers.transport import Address, PeerTransport, SteadyUnixClock, TransportCallbacks
@@ -98,6 +99,7 @@
     log: Log
     handle: Callable[[Event], None]  # takes events for the reducer
     clock: Callable[[], Time]  # of the reducer's events; differs from the peers' clock
+    on_fault: FaultReport
 
 
 class PeerExtension:
@@ -150,7 +152,7 @@
             TransportCallbacks(
                 due_payloads=lambda now: self.fleet.due_digests(now, self.node.live_peers()),
                 on_change=self.on_change,
-                on_fault=lambda trace: self.log.write("fault", what="peers", trace=trace),
+                on_fault=self.router.on_fault,
             ),
         )
 
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -20,6 +20,7 @@
 from hillchute.fronts.mysql.door import MysqlFrontend
 from hillchute.log import Log
 from hillchute.net.clock import Clock, EngineStartTimes
+from hillchute.net.fault_barrier import FaultBarrier
 from hillchute.net.poller import Poller
 from hillchute.router.alarm import Alarm
 from hillchute.router.config import RouterConfiguration
@@ -105,7 +106,11 @@
         from hillchute.router.integrations.peers import PeerExtension, RouterContext
 
         router = RouterContext(
-            configuration=self.configuration, log=self.log, handle=self.handle, clock=self.clock
+            configuration=self.configuration,
+            log=self.log,
+            handle=self.handle,
+            clock=self.clock,
+            on_fault=self.faults.write,
         )
         return PeerExtension(operator=settings, router=router, scheduler=scheduler)
 
@@ -126,22 +131,25 @@
             answer_margin=self.reducer.loop_lag.answer_margin,
             on_stream_delivered=self.on_stream_delivered,
             on_stream_unreadable=self.on_stream_unreadable,
+            on_fault=self.faults.write,
         )
 
     def _build_links(self, settings: OperatorSettings) -> EngineLinks:
         if settings.get("protocol") != "flight":
             return LineConnections(self.poller, self.log, self.handle, self.clock, self.client_is_waiting)
-        from hillchute.engines.flight.links import FlightConnections
+        from hillchute.engines.flight.links import ConnectionLimits, FlightConnections
 
         pool = self.reducer.pool
-        return FlightConnections(settings, self.log, self.handle, pool.connect_timeout, pool.silence_limit)
+        limits = ConnectionLimits(pool.connect_timeout, pool.silence_limit)
+        return FlightConnections(settings, self.log, self.handle, limits, self.faults.write)
 
     def _build_flight_frontend(self, settings: OperatorSettings | None) -> FlightFrontend | None:
         if not settings:
             return None
         from hillchute.fronts.flight.server import Server
 
-        return Server(settings, self.reducer.rules.groups, self.log, self.clock, self.handle)
+        groups = self.reducer.rules.groups
+        return Server(settings, groups, self.log, self.clock, self.handle, self.faults.write)
 
     def _build_executor(self) -> EffectExecutor:
         return EffectExecutor(
@@ -186,6 +194,7 @@
             on_event=self.endpoint_updates.on_watch_event,
             last_offset=self.last_watch_offset,
             jittered=RetryDelays(self.configuration.seed).next_delay,
+            on_fault=self.faults.write,
         )
 
     def _build_reloader(self, operator_file: OperatorFile) -> ConfigurationReloader:
@@ -210,6 +219,7 @@
             extension=self.extension,
             signals=self.signals,
             lifecycle=self.lifecycle,
+            faults=self.faults,
             log=self.log,
             clock=self.clock,
             handle=self.handle,
@@ -301,12 +311,18 @@
 
     async def _close_optional_parts(self) -> None:
         if self.flight is not None:
-            await self.flight.close(FLIGHT_CLOSE_GRACE)
+            with FaultBarrier("close_flight", self.faults.write):
+                await self.flight.close(FLIGHT_CLOSE_GRACE)
         if self.extension is not None:
-            await self.extension.hand_over()
+            with FaultBarrier("hand_over", self.faults.write):
+                await self.extension.hand_over()
 
     def on_signal(self, number: int) -> None:
-        """Handles a signal; a second SIGTERM has no effect."""
+        """Handles a signal; a second SIGTERM has no effect. An exception in it is logged, nothing ends."""
+        with FaultBarrier("signal", self.faults.write):
+            self._handle_signal(number)
+
+    def _handle_signal(self, number: int) -> None:
         self.log.write("signal", number=int(number))
         if number == signal.SIGUSR1:
             for batch in self.trace.batches():
@@ -316,5 +332,7 @@
         elif self.lifecycle.phase in (Phase.CLOSING, Phase.FLUSHING):
             self.reloader.reload(self.tasks)  # the endpoint list is needed until the last answer
         elif self.lifecycle.enter(Phase.RELOADING):
-            self.reloader.reload(self.tasks)
-            self.lifecycle.enter(Phase.SERVING)
+            try:
+                self.reloader.reload(self.tasks)
+            finally:
+                self.lifecycle.enter(Phase.SERVING)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -40,6 +40,7 @@
             on_event=self.events.append,
             last_offset=lambda: max([0, *(event.offset for event in self.events)]),
             jittered=lambda seconds: seconds,
+            on_fault=lambda source, error: self.log.write("fault", what=source, reason=repr(error)),
         )
 
     async def connect(self, host, port):
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -143,7 +143,11 @@
     return PeerExtension(
         operator={"peers": peers},
         router=RouterContext(
-            configuration=configuration, log=log, handle=lambda event: None, clock=lambda: 0
+            configuration=configuration,
+            log=log,
+            handle=lambda event: None,
+            clock=lambda: 0,
+            on_fault=lambda source, error: None,
         ),
         scheduler=QueryScheduler(1, configuration.settings, 0),
     )
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -109,7 +109,9 @@
 
 def test_reload_applies_settings_and_names_those_that_need_a_restart(tmp_path):
     text = 'flight: {listen: "127.0.0.1:1", tickets: 5, users: [{name: "bi", token: "old"}]}'
-    flight_server = server.Server(reading.parse_settings(text)["flight"], {}, Log("n", -1), lambda: 0, None)
+    flight_server = server.Server(
+        reading.parse_settings(text)["flight"], {}, Log("n", -1), lambda: 0, None, None
+    )
     issued_token = flight_server.authenticator.issue_token(0, "bi")
     text = text.replace("old", "new").replace(":1", ":2").replace("tickets: 5", "tickets: 1")
     assert flight_server.reload_settings(reading.parse_settings(text)["flight"]) == ["listen"]
@@ -273,7 +275,14 @@
 
 
 def test_call_that_is_cancelled_or_raises_ends_only_its_own_task():
-    connections = links.FlightConnections({}, Log("n", -1), None, 1, 1)
+    faults = []
+    connections = links.FlightConnections(
+        {},
+        Log("n", -1),
+        None,
+        links.ConnectionLimits(1, 1),
+        lambda source, error: faults.append((source, repr(error))),
+    )
 
     async def cancelled():
         raise anyio.get_cancelled_exc_class()
@@ -289,7 +298,7 @@
             assert not connections.tasks.cancel_scope.cancel_called
 
     anyio.run(run)
-    assert b"KeyError" in connections.log.buffer
+    assert faults == [("faulty", "KeyError('x')")]
 
 
 # ---- a router in a process --------------------------------------------------------------------------
--- a/tests/test_full_core.py
+++ b/tests/test_full_core.py
@@ -279,6 +279,7 @@
         None,
         None,
         None,
+        on_fault=None,
     )
     for number, buffered_socket in enumerate(buffered_sockets):
         client = frontend.clients[number] = Client(number, 1000)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -451,8 +451,9 @@
     faults = []
     # A port that is free for UDP may be in use for TCP by another test; free_port() checks both.
     address = transport.Address("127.0.0.1", free_port())
+    report = callbacks(lambda: None, lambda *fault: faults.append(fault))
     peer_transport = transport.PeerTransport(
-        address, {}, SimulatedNodes(["a"]).nodes["a"], lambda: NOW, callbacks(lambda: None, faults.append)
+        address, {}, SimulatedNodes(["a"]).nodes["a"], lambda: NOW, report
     )
     peer_transport.faults = faults
     peer_transport.open()
@@ -500,4 +501,5 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(run)
-    assert "internal error" in peer_transport.faults[0]
+    ((source, error),) = peer_transport.faults
+    assert source == "peers: receive" and "internal error" in repr(error)
--- a/tests/test_recorded_bytes.py
+++ b/tests/test_recorded_bytes.py
@@ -798,7 +798,7 @@
 
 def test_each_kind_of_error_to_clients_has_an_example():
     assert sorted(mysql_error_kinds()) == [1040, 1045, 1047, 1049, 1064, 1094, 1153, 1317, 1835]
-    assert len(flight_status_kinds()) == 9
+    assert len(flight_status_kinds()) == 10
 
 
 def fields_at_default(value: object) -> Iterator[str]:
