A configuration or operator file that can't be used changes nothing

Cause: hosts of addresses were not checked, and the error of their encoding is none that the watch of the event bus expects; a section of an operator file was checked only while it was applied, with an error that the reload did not catch, and with the sections before it applied already. Random files found more: ports of 5,000 digits or `²`, negative offsets, numbers of 5,000 digits, brackets nested by thousands; at the start a missing secret file or TLS key.

Change: net/address.py reads the addresses of both files and of the engines under `known`. Each component checks its section (prepare_reload) before any is applied.

Changed tests ask for the same by the new methods; one for a secret file that is missing now asks for it at both places.

--- a/hillchute/discovery/event_bus.py
+++ b/hillchute/discovery/event_bus.py
@@ -6,6 +6,7 @@
 whole endpoint records.
 """
 
+import math
 import struct
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from enum import StrEnum
@@ -13,6 +14,7 @@
 
 from hillchute.decision.interface import EndpointEntry, EndpointState
 from hillchute.errors import EventBusProtocolError
+from hillchute.net.address import parse_address
 
 FRAME_HEADER = struct.Struct(">IQB")  # length, offset of the event, kind
 ENDPOINT_RECORD = struct.Struct(">I4sHBBBHIQ")  # engine, IPv4, port, state, zone, kind, cell, weight, start
@@ -25,6 +27,8 @@
 WEIGHT_PER_UNIT = 1000  # a record has its weight in thousandths
 TICKS_PER_MILLISECOND = 10  # `Time` counts tenths of a millisecond, the event bus milliseconds
 
+MAX_OFFSET = (1 << 64) - 1  # eight bytes in a frame
+MAX_ENGINE_NUMBER = (1 << 32) - 1  # four bytes in a record
 ENGINE_NAME_PREFIX = "s-"
 ENGINE_STATES = (EndpointState.READY, EndpointState.DRAINING, EndpointState.GONE)  # by number in a record
 
@@ -130,11 +134,14 @@
             _endpoint_of_json(endpoint, zone_names, kind_names) for endpoint in topology["endpoints"]
         )
         kind = WatchEventKind.SNAPSHOT if topology.get("snapshot") else WatchEventKind.DELTA
-        yield WatchEvent(int(event["offset"]), kind, endpoints)
+        offset = int(event["offset"])
+        if not 0 <= offset <= MAX_OFFSET:
+            raise ValueError(f"offset {offset}: expected 0 to {MAX_OFFSET}")
+        yield WatchEvent(offset, kind, endpoints)
 
 
 def _endpoint_of_json(endpoint: Mapping[str, Any], zones: Sequence[str], kinds: Sequence[str]) -> Endpoint:
-    host, _, port = endpoint["address"].rpartition(":")
+    host, port = parse_address(endpoint["address"])
     name = endpoint["name"]
     if not name.startswith(ENGINE_NAME_PREFIX) or endpoint["status"] not in ENGINE_STATES:
         raise ValueError(f"engine {name} in state {endpoint['status']}: invalid name or state")
@@ -147,7 +154,9 @@
         state=EndpointState(endpoint["status"]),
         weight=float(endpoint.get("weight", 1.0)),
     )
-    return Endpoint(entry, host, int(port))
+    if not 0 <= entry.engine <= MAX_ENGINE_NUMBER or not 0 <= entry.weight < math.inf:
+        raise ValueError(f"engine {name} of weight {entry.weight}: number or weight out of range")
+    return Endpoint(entry, host, port)
 
 
 def _index_or_first(names: Sequence[str], name: str | None) -> int:
--- a/hillchute/errors.py
+++ b/hillchute/errors.py
@@ -61,6 +61,15 @@
     )
 
 
+class FlightKeysError(HillchuteError):
+    """The certificate or a key of the Flight SQL frontend can't be used; `location` is the section."""
+
+    remedy = (
+        "check that `flight.tls` names a certificate and its key that the router may read, then start the"
+        " router again; keys that change while it runs are read without a restart"
+    )
+
+
 class EventBusProtocolError(HillchuteError):
     """The event bus has violated its protocol."""
 
--- a/hillchute/fronts/flight/server.py
+++ b/hillchute/fronts/flight/server.py
@@ -17,6 +17,7 @@
 import grpc.aio
 
 from hillchute.engines import words
+from hillchute.errors import FlightKeysError, OperatorFileError
 from hillchute.fronts import events
 from hillchute.fronts.flight import answers, catalog
 from hillchute.fronts.flight.answers import Status
@@ -56,6 +57,13 @@
     values: tuple[object, ...] = ()
 
 
+class FlightReload(NamedTuple):
+    """Reloaded settings that were checked; `apply` raises nothing."""
+
+    needs_restart: list[str]  # the changed keys that are not applied
+    apply: Callable[[], None]
+
+
 class Server:
     """Serves calls; `handle` takes their events, in which a call's number is the session."""
 
@@ -89,7 +97,7 @@
     # ---- the port ---------------------------------------------------------------------------------
 
     async def open(self) -> None:
-        """Starts serving; raises OSError if the port is taken, ValueError if the TLS keys are not valid."""
+        """Starts serving; raises OSError if the port is taken, FlightKeysError if a TLS key can't be used."""
         max_message_bytes = self.settings["message_bytes"]
         self.server = grpc.aio.server(
             options=[
@@ -127,7 +135,10 @@
         """TLS credentials that are reloaded when their files change, without a restart."""
         authority = tls.get("client_authority")
         last_check = {"versions": self.file_versions(tls), "checked_at": self.clock()}
-        first = self.load_keys(tls)
+        try:
+            first = self.load_keys(tls)
+        except (OSError, ValueError) as error:
+            raise FlightKeysError(str(error), "flight.tls") from error
 
         def fetch() -> grpc.ServerCertificateConfiguration | None:
             now = self.clock()
@@ -177,20 +188,24 @@
         if self.server is not None:
             await self.server.stop(grace)
 
-    def reload_settings(self, settings: Mapping[str, object]) -> list[str]:
-        """Applies users, defaults and limits of reloaded settings; returns the keys that need a restart."""
+    def prepare_reload(self, settings: Mapping[str, object]) -> FlightReload:
+        """Checks reloaded settings; raises OperatorFileError if a file of a user can't be read."""
         restart_keys = [
             key for key in ("listen", "tls", "message_bytes") if settings.get(key) != self.settings.get(key)
         ]
         try:
             authenticator = Authenticator(settings["users"], self.authenticator.key)
-        except OSError as error:
-            raise ValueError(f"flight.users: {error}") from None
-        self.settings = {**settings, **{key: self.settings.get(key) for key in restart_keys}}
-        self.authenticator = authenticator
-        self.tickets.max_entries, self.tickets.lifetime = settings["tickets"], settings["ticket_ms"] * 10
-        self.prepared.max_entries = settings["prepared"]
-        return restart_keys
+        except (OSError, ValueError) as error:
+            raise OperatorFileError(str(error), "flight.users") from error
+
+        def apply() -> None:
+            """Applies users, defaults and limits."""
+            self.settings = {**settings, **{key: self.settings.get(key) for key in restart_keys}}
+            self.authenticator = authenticator
+            self.tickets.max_entries, self.tickets.lifetime = settings["tickets"], settings["ticket_ms"] * 10
+            self.prepared.max_entries = settings["prepared"]
+
+        return FlightReload([f"flight.{key}" for key in restart_keys], apply)
 
     # ---- all calls --------------------------------------------------------------------------------
 
--- a/hillchute/operator/reading.py
+++ b/hillchute/operator/reading.py
@@ -8,6 +8,7 @@
 from importlib.resources import files
 from pathlib import Path
 
+from hillchute.net.address import InvalidAddressError, parse_address
 from hillchute.operator.records import Document, OperatorFileError, Validator, describe_fields, parse
 
 MIN_PEER_KEY_BYTES = 16  # shorter keys are open to brute force
@@ -26,18 +27,19 @@
         raise OperatorFileError(f"{path}: {error.strerror}") from error
     except UnicodeDecodeError as error:
         raise OperatorFileError(f"{path}: not UTF-8 text") from error
+    except ValueError as error:
+        raise OperatorFileError(f"{path}: not the name of a file: {error}") from error
     return parse_settings(text, str(path))
 
 
 def parse_settings(text: str, name: str = "operator file") -> dict[str, object]:
     """Return the settings in a text, as `read` does; errors name the text by `name`."""
-    settings = Validator(schema(), parse(text, name)).validate()
-    for index, user in enumerate((settings.get("flight") or {}).get("users", ())):
-        path = f"flight.users[{index}]"
-        if sum(key in user for key in ("password", "password_file", "token", "token_file")) != 1:
-            raise OperatorFileError(
-                f"{name}: {path}: expected one of password, password_file, token, token_file"
-            )
+    try:
+        settings = Validator(schema(), parse(text, name)).validate()
+    except RecursionError as error:
+        raise OperatorFileError(f"{name}: nested too deeply") from error
+    if settings.get("flight"):
+        validate_flight(settings["flight"], name)
     if settings.get("peers"):
         validate_peers(settings["peers"], name)
     if settings.get("history"):
@@ -47,21 +49,47 @@
     return settings
 
 
+def validate_address(text: str, path: str) -> None:
+    """Check an address; `path` is the file and the field."""
+    try:
+        parse_address(text)
+    except InvalidAddressError as error:
+        raise OperatorFileError(f"{path}: {error}") from error
+
+
+def read_text_file(file: str, path: str) -> str:
+    """Return the text of a file that a field refers to; `path` is the operator file and the field."""
+    try:
+        return Path(file).read_text(encoding="utf-8").strip()
+    except (OSError, ValueError) as error:
+        raise OperatorFileError(f"{path}: {file}: {error}") from error
+
+
+def validate_flight(flight: dict[str, object], name: str) -> None:
+    """Check the address, and that each user has one secret, whose file is readable."""
+    validate_address(flight["listen"], f"{name}: flight.listen")
+    for index, user in enumerate(flight["users"]):
+        path = f"{name}: flight.users[{index}]"
+        if sum(key in user for key in ("password", "password_file", "token", "token_file")) != 1:
+            raise OperatorFileError(f"{path}: expected one of password, password_file, token, token_file")
+        for key in user.keys() & {"password_file", "token_file"}:
+            read_text_file(user[key], f"{path}.{key}")
+
+
 def validate_peers(peers: dict[str, object], name: str) -> None:
     """Check that names are unique, read keys from their files, and check that they are long enough."""
+    validate_address(peers["listen"], f"{name}: peers.listen")
     names = {peers["name"]}
     for index, other in enumerate(peers["others"]):
         path = f"{name}: peers.others[{index}]"
         if other["name"] in names:
             raise OperatorFileError(f"{path}.name: {other['name']} is listed twice")
         names.add(other["name"])
+        validate_address(other["address"], f"{path}.address")
         if ("key" in other) == ("key_file" in other):
             raise OperatorFileError(f"{path}: expected one of key, key_file")
         if "key_file" in other:
-            try:
-                other["key"] = Path(other["key_file"]).read_text(encoding="utf-8").strip()
-            except (OSError, UnicodeDecodeError) as error:
-                raise OperatorFileError(f"{path}.key_file: {other['key_file']}: {error}") from error
+            other["key"] = read_text_file(other["key_file"], f"{path}.key_file")
         if len(other["key"].encode()) < MIN_PEER_KEY_BYTES:
             raise OperatorFileError(f"{path}: expected a key of {MIN_PEER_KEY_BYTES} characters or more")
 
--- a/hillchute/operator/records.py
+++ b/hillchute/operator/records.py
@@ -4,6 +4,7 @@
 file, the line, the path of the field, and what was expected. This module does not depend on any setting.
 """
 
+import math
 import re
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -16,6 +17,7 @@
 
 from hillchute.errors import OperatorFileError
 
+MAX_NUMBER_CHARACTERS = 64  # more than any bound in the schema has
 MAX_DEPTH = 32  # of nesting; ends the validation of a file that refers to itself
 
 
@@ -194,6 +196,16 @@
         raise OperatorFileError(f"{token.line}: syntax error at {str(token)[:30]!r}") from error
 
 
+def to_number(token: Token) -> int | float:
+    """Return a number, which must be finite and of at most MAX_NUMBER_CHARACTERS."""
+    text = str(token).replace("_", "")
+    if len(text) <= MAX_NUMBER_CHARACTERS:
+        number = float(text) if re.search(r"[.eE]", text) else int(text)
+        if math.isfinite(number):
+            return number
+    raise OperatorFileError(f"{token.line}: number too large: {text[:30]!r}")
+
+
 def build(node: Tree, comments: dict[int, str]) -> Constraint:
     """Return the constraint of a syntax tree. The cases are rule names and aliases in grammar.lark."""
     line = getattr(node.meta, "line", 0)
@@ -202,8 +214,7 @@
         case "string":
             return Value(unquote(parts[0]), line)
         case "number":
-            text = str(parts[0]).replace("_", "")
-            return Value(float(text) if re.search(r"[.eE]", text) else int(text), line)
+            return Value(to_number(parts[0]), line)
         case "true" | "false" | "null":
             return Value({"true": True, "false": False, "null": None}[node.data], line)
         case "type":
--- a/hillchute/peers/transport.py
+++ b/hillchute/peers/transport.py
@@ -19,6 +19,7 @@
 from hillchute.decision.interface import Time
 from hillchute.errors import PeerListenError
 from hillchute.net.accepted_stream import wrap_accepted_socket
+from hillchute.net.address import Address
 from hillchute.net.clock import round_up_to_time_units
 from hillchute.net.fault_barrier import FaultBarrier, FaultReport
 from hillchute.net.system_calls import ABORTED_CONNECTION_ERRNOS, TRANSIENT_ERRNOS
@@ -57,13 +58,6 @@
         return round_up_to_time_units(self.offset_ns + time.clock_gettime_ns(time.CLOCK_BOOTTIME))
 
 
-class Address(NamedTuple):
-    """The address at which a router listens, for both UDP and TCP."""
-
-    host: str
-    port: int
-
-
 class QueuedMessage(NamedTuple):
     """A message too long for a datagram, and the kind of the datagrams that carry it."""
 
--- a/hillchute/router/config.py
+++ b/hillchute/router/config.py
@@ -5,7 +5,8 @@
 """
 
 import os
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from typing import NamedTuple, TypeVar
 
 import orjson
@@ -13,11 +14,15 @@
 from hillchute.decision.interface import SECOND, Time
 from hillchute.discovery import event_bus
 from hillchute.errors import ConfigurationError, EventBusProtocolError
+from hillchute.net import address
+from hillchute.net.address import Address, InvalidAddressError
 from hillchute.router.settings_validation import validate
 from hillchute.settings import Settings
 from hillchute.settings_translation import flatten_settings, translate_settings
 
 Value = TypeVar("Value")
+MALFORMED_VALUE_ERRORS = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
+"""What Python raises for a value of a wrong type, shape or size."""
 JsonObject = Mapping[str, object]
 
 MAX_SHUTDOWN_TIME: Time = 3 * SECOND
@@ -38,8 +43,6 @@
 MAX_PACKET_BYTES = 65_536  # of a client's packet; statements on this platform are far shorter
 
 MAX_SHOWN_CHARACTERS = 40  # of an invalid value in a message
-MAX_SHOWN_ADDRESS_CHARACTERS = 60
-PORT_LIMIT = 65_536
 
 
 class RouterConfiguration(NamedTuple):
@@ -51,7 +54,7 @@
     seed: int  # of all random choices
     sockets: int  # maximum number of open descriptors
     max_packet_bytes: int  # maximum unread input of one session
-    event_bus_address: tuple[str, int]  # host and port of the event bus
+    event_bus_address: Address
     initial_watch_events: tuple[event_bus.WatchEvent, ...]  # the endpoint list at the start
     initial_offset: int  # offset of the last of these events
     catalog: Mapping[str, object]  # the settings by dotted key, for needs_restart()
@@ -70,20 +73,27 @@
 
 
 def read_configuration(environ: Mapping[str, str] = os.environ) -> RouterConfiguration:
-    """Reads the file that EDGE_CONFIG names; raises ConfigurationError for the first error."""
+    """Reads the file that EDGE_CONFIG names; raises nothing but ConfigurationError, for the first error."""
     path = environ.get("EDGE_CONFIG")
     if not path:
         raise ConfigurationError("not set; it must name the configuration file", "EDGE_CONFIG")
     try:
         with open(path, "rb") as file:
-            table = orjson.loads(file.read())
+            data = file.read()
     except OSError as error:
         raise ConfigurationError(f"{path}: {error.strerror}", "EDGE_CONFIG") from error
+    except ValueError as error:
+        raise ConfigurationError(f"not the name of a file: {error}", "EDGE_CONFIG") from error
+    try:
+        table = orjson.loads(data)
     except orjson.JSONDecodeError as error:
         raise ConfigurationError(f"{path}: not JSON: {error}", "EDGE_CONFIG") from error
     if not isinstance(table, dict):
         raise ConfigurationError(f"{path}: not a JSON object", "EDGE_CONFIG")
-    return parse_configuration(table, environ)
+    try:
+        return parse_configuration(table, environ)
+    except RecursionError as error:
+        raise ConfigurationError(f"{path}: nested too deeply", "EDGE_CONFIG") from error
 
 
 def parse_configuration(table: JsonObject, environ: Mapping[str, str]) -> RouterConfiguration:
@@ -100,6 +110,7 @@
     catalog = parse_catalog(table) | {"sessions": sockets // ADMITTED_SESSIONS_DIVISOR}
     seed = _parse_seed(table)
     offset = _required(table, "known.offset", int)
+    _check_at_least(0, offset, "known.offset")
     initial_watch_events = _parse_endpoint_list(table)
     settings = _typed_settings(catalog)
     unread_input_bytes = memory_mb * BYTES_PER_MB // UNREAD_INPUT_DIVISOR
@@ -123,7 +134,8 @@
     """Returns `settings` as a flat catalog by dotted key; raises ConfigurationError for the first error."""
     settings = _required(table, "settings", dict)
     validate(settings)
-    return translate_settings(flatten_settings(settings))
+    with _malformed_settings_reported():
+        return translate_settings(flatten_settings(settings))
 
 
 def needs_restart(running: RouterConfiguration, reloaded: RouterConfiguration) -> list[str]:
@@ -137,19 +149,25 @@
     return changed + sorted(key for key in {*before, *after} if before.get(key) != after.get(key))
 
 
-def parse_address(text: str, path: str) -> tuple[str, int]:
+def parse_address(text: str, path: str) -> Address:
     """Returns the host and port of an address; raises ConfigurationError with key `path` if it is invalid."""
-    host, separator, port = text.rpartition(":")
-    if not separator or not host or not port.isdigit() or not 0 < int(port) < PORT_LIMIT:
-        shown = repr(text[:MAX_SHOWN_ADDRESS_CHARACTERS])
-        raise ConfigurationError(f"not an address of the form host:port: {shown}", path)
-    return host.strip("[]"), int(port)
+    try:
+        return address.parse_address(text)
+    except InvalidAddressError as error:
+        raise ConfigurationError(str(error), path) from error
 
 
 def _typed_settings(catalog: Mapping[str, object]) -> Settings:
-    try:
+    with _malformed_settings_reported():
         return Settings.from_catalog(catalog)
-    except (TypeError, ValueError) as error:  # a malformed setting that validate() does not check
+
+
+@contextmanager
+def _malformed_settings_reported() -> Iterator[None]:
+    """Raises ConfigurationError for a malformed setting that validate() does not check."""
+    try:
+        yield
+    except MALFORMED_VALUE_ERRORS as error:
         raise ConfigurationError(f"{type(error).__name__}: {error}", "settings") from error
 
 
@@ -176,11 +194,11 @@
     known = _required(table, "known", dict)
     try:
         return tuple(event_bus.initial_watch_events(known, zones, kinds))
-    except (EventBusProtocolError, KeyError, TypeError, ValueError, AttributeError) as error:
+    except (EventBusProtocolError, *MALFORMED_VALUE_ERRORS) as error:
         raise ConfigurationError(f"{type(error).__name__}: {error}", "known.batch") from error
 
 
-def _required_address(table: JsonObject, path: str) -> tuple[str, int]:
+def _required_address(table: JsonObject, path: str) -> Address:
     return parse_address(_required(table, path, str), path)
 
 
--- a/hillchute/router/integrations/history.py
+++ b/hillchute/router/integrations/history.py
@@ -5,7 +5,8 @@
 only if the operator file has `history`.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -161,13 +162,16 @@
             for error in self.store.faults():
                 log.write("history_disk", **error.log_fields)
 
-    def reload(self, settings: Mapping[str, Any]) -> None:
-        """Applies the reloaded `history` of the operator file.
+    def prepare_reload(self, settings: Mapping[str, Any]) -> Callable[[], None]:
+        """Checks the reloaded `history` of the operator file; returns the call that applies it."""
+        return partial(self._apply_policies, retention_policies(settings))
+
+    def _apply_policies(self, policies: RetentionPolicies) -> None:
+        """Applies reloaded policies.
 
         Policies with a higher number take effect here at once, and then on all replicas. Others that differ
         from the present ones are rejected and logged.
         """
-        policies = retention_policies(settings)
         before = self.replica.policies
         if policies == before:
             return
--- a/hillchute/router/integrations/interface.py
+++ b/hillchute/router/integrations/interface.py
@@ -14,6 +14,18 @@
 ExtensionEffect = ClaimQuery | EndClaim | ForwardQuery | CancelForward
 
 
+class PreparedReload(Protocol):
+    """Reloaded settings that were checked."""
+
+    @property
+    def needs_restart(self) -> list[str]:
+        """The paths of the changes that are not applied while the router runs."""
+
+    @property
+    def apply(self) -> Callable[[], None]:
+        """Applies all other changes; raises nothing."""
+
+
 class Frontend(Protocol):
     """Answers the clients of sessions, each session exactly once."""
 
@@ -71,5 +83,5 @@
     async def hand_over(self) -> None:
         """Waits, for a bounded time, until other routers have a copy of what only this one holds."""
 
-    def reload(self, operator: Mapping[str, object]) -> list[str]:
-        """Applies a reloaded operator file; returns the paths of the changes that need a restart."""
+    def prepare_reload(self, operator: Mapping[str, object]) -> PreparedReload:
+        """Checks a reloaded operator file; raises HillchuteError if it can't be used."""
--- a/hillchute/router/integrations/partners.py
+++ b/hillchute/router/integrations/partners.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable, Mapping
-from typing import Any
+from typing import Any, NamedTuple
 
 from hillchute.decision.interface import Time
 from hillchute.errors import (
@@ -28,6 +28,13 @@
 from hillchute.router.integrations.partner_settings import PartnerSettings
 
 
+class PartnersReload(NamedTuple):
+    """The reloaded section that was checked; implements `interface.PreparedReload`."""
+
+    needs_restart: list[str]
+    apply: Callable[[], None]
+
+
 class PartnerExtension(FragmentedChannel[Message]):
     """The partner extension of one router."""
 
@@ -178,14 +185,18 @@
         """Partners that signed two agreements with one number, with the proofs."""
         return sorted(self.negotiation.ledger.equivocations.items())
 
-    def reload(self, settings: Mapping[str, Any]) -> list[str]:
-        """Applies the reloaded `partners` of the operator file; returns the paths of the changes that need a
-        restart. If there are any, no change is applied."""
-        new_settings = PartnerSettings.from_operator_file(settings)
-        restart = self.settings.needs_restart(new_settings)
-        if not restart:
-            self.settings = new_settings
-            self.negotiation.set_partners(new_settings.routers, new_settings.verifier)
+    def prepare_reload(self, section: Mapping[str, Any]) -> PartnersReload:
+        """Checks the reloaded `partners`. If one of its changes needs a restart, none is applied."""
+        settings = PartnerSettings.from_operator_file(section)
+        restart = self.settings.needs_restart(settings)
+        verifier = settings.verifier
+
+        def apply() -> None:
+            if restart:
+                return
+            self.settings = settings
+            self.negotiation.set_partners(settings.routers, verifier)
             self._make_offer()
             self.context.schedule_messages()
-        return restart
+
+        return PartnersReload(restart, apply)
--- a/hillchute/router/integrations/peers.py
+++ b/hillchute/router/integrations/peers.py
@@ -4,9 +4,10 @@
 Imported only if the operator file names peers.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from functools import partial
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import anyio
 import anyio.abc
@@ -16,10 +17,11 @@
 from hillchute.decision.scheduler import QueryScheduler
 from hillchute.errors import ClockBehindError, PeerListMismatchError
 from hillchute.log import Log
+from hillchute.net.address import Address
 from hillchute.net.fault_barrier import FaultReport
 from hillchute.peers.datagrams import DropReason
 from hillchute.peers.node import Node, RouterIdentity
-from hillchute.peers.transport import Address, PeerTransport, SteadyUnixClock, TransportCallbacks
+from hillchute.peers.transport import PeerTransport, SteadyUnixClock, TransportCallbacks
 from hillchute.router.config import RouterConfiguration, parse_address
 from hillchute.router.effects import CancelForward, ClaimQuery, EndClaim, ForwardQuery
 from hillchute.router.events import Event, PeersChanged
@@ -63,9 +65,7 @@
             name=section["name"],
             listen=section["listen"],
             keys={other["name"]: other["key"].encode() for other in others},
-            addresses={
-                other["name"]: Address(*parse_address(other["address"], "peers.others")) for other in others
-            },
+            addresses={other["name"]: parse_address(other["address"], "peers.others") for other in others},
         )
 
     @property
@@ -102,6 +102,18 @@
     on_fault: FaultReport
 
 
+class PeersReload(NamedTuple):
+    """A reloaded operator file that was checked; implements `interface.PreparedReload`."""
+
+    needs_restart: list[str]
+    changes: Sequence[Callable[[], None]]
+
+    def apply(self) -> None:
+        """Applies all changes, in their order."""
+        for change in self.changes:
+            change()
+
+
 class PeerExtension:
     """The peers of one router and, if enabled, its answer history and partners; implements
     `interface.RouterExtension`."""
@@ -145,7 +157,7 @@
 
     def _make_transport(self) -> PeerTransport:
         return PeerTransport(
-            Address(*parse_address(self.settings.listen, "peers.listen")),
+            parse_address(self.settings.listen, "peers.listen"),
             self.settings.addresses,
             self.node,
             self.clock,
@@ -258,25 +270,32 @@
                 break
             await anyio.sleep(HANDOVER_POLL_INTERVAL)
 
-    def reload(self, operator: Mapping[str, Any]) -> list[str]:
-        """Applies a reloaded operator file; returns the paths of the changes that need a restart. Raises
-        ConfigurationError for an invalid address; then nothing has changed."""
+    def prepare_reload(self, operator: Mapping[str, Any]) -> PeersReload:
+        """Checks a reloaded operator file. Raises ConfigurationError for an invalid address."""
         settings = PeerSettings.from_operator_file(operator["peers"])
         restart = [
             f"peers.{key}"
             for key in ("name", "listen")
             if getattr(settings, key) != getattr(self.settings, key)
         ]
+        changes: list[Callable[[], None]] = []
         if not restart:
-            self._reload_peers(settings)
+            changes.append(partial(self._reload_peers, settings))
         history = operator.get("history")
         if self.history is not None and history:
             if not restart:
-                self.history.on_routers_named()
-            self.history.reload(history)
+                changes.append(self.history.on_routers_named)
+            changes.append(self.history.prepare_reload(history))
         elif bool(history) != (self.history is not None):
             restart.append("history")
-        return restart + self._reload_partners(operator.get("partners"), may_change=not restart)
+        partners = operator.get("partners")
+        if bool(partners) != (self.partners is not None):
+            restart.append("partners")
+        elif self.partners is not None and partners and not restart:
+            prepared = self.partners.prepare_reload(partners)
+            restart += prepared.needs_restart
+            changes.append(prepared.apply)
+        return PeersReload(restart, changes)
 
     def _reload_peers(self, settings: PeerSettings) -> None:
         now = self.clock()
@@ -285,14 +304,6 @@
         self.transport.addresses = dict(settings.addresses)
         self.settings = settings
 
-    def _reload_partners(self, section: Mapping[str, Any] | None, *, may_change: bool) -> list[str]:
-        """The paths of the changes that need a restart. `may_change`: no other section needs one."""
-        if bool(section) != (self.partners is not None):
-            return ["partners"]
-        if self.partners is None or not section or not may_change:
-            return []
-        return self.partners.reload(section)
-
     # ---- called by the transport and other extensions -----------------------------------------------------
 
     def schedule_messages(self) -> None:
--- a/hillchute/router/interfaces.py
+++ b/hillchute/router/interfaces.py
@@ -9,7 +9,7 @@
 import anyio.abc
 
 from hillchute.engines import words
-from hillchute.router.integrations.interface import ForwardingFrontend
+from hillchute.router.integrations.interface import ForwardingFrontend, PreparedReload
 
 
 class EngineLinks(Protocol):
@@ -32,10 +32,10 @@
     """Serves clients over Arrow Flight SQL; each call is a session."""
 
     async def open(self) -> None:
-        """Starts serving; raises OSError if the address is in use, ValueError if a key can't be used."""
+        """Starts serving; raises OSError if the address is in use, FlightKeysError for an unusable key."""
 
     async def close(self, grace: float) -> None:
         """Stops accepting calls, and ends calls that are still open after `grace` seconds."""
 
-    def reload_settings(self, settings: Mapping[str, Any]) -> list[str]:
-        """Applies reloaded settings; returns the names of those that need a restart."""
+    def prepare_reload(self, settings: Mapping[str, Any]) -> PreparedReload:
+        """Checks reloaded settings; raises OperatorFileError if they can't be used."""
--- a/hillchute/router/reload.py
+++ b/hillchute/router/reload.py
@@ -16,7 +16,7 @@
 from hillchute.router import config
 from hillchute.router.config import RouterConfiguration
 from hillchute.router.endpoint_updates import EndpointUpdates
-from hillchute.router.integrations.interface import RouterExtension
+from hillchute.router.integrations.interface import PreparedReload, RouterExtension
 from hillchute.router.interfaces import FlightFrontend
 
 OperatorSettings: TypeAlias = Mapping[str, Any]
@@ -26,13 +26,22 @@
 class OperatorFile(NamedTuple):
     """The operator file's settings, and a function that reads the file again.
 
-    `read` raises ValueError (hillchute.operator's OperatorFileError) if the file can't be used.
+    `read` raises OperatorFileError if the file can't be used.
     """
 
     settings: OperatorSettings
     read: Callable[[], OperatorSettings] | None = None  # None if it can't be read again
 
 
+class NeedsRestart(NamedTuple):
+    """Sections that a running router does not apply; a PreparedReload."""
+
+    needs_restart: list[str]
+
+    def apply(self) -> None:
+        """Does nothing."""
+
+
 NO_OPERATOR_FILE = OperatorFile({})
 """Enables only the platform's protocol."""
 
@@ -68,25 +77,31 @@
         if self.operator_file.read is None:
             return []
         try:
-            return self._apply(self.operator_file.read())
-        except ValueError as error:
-            error_fields = error.log_fields if isinstance(error, HillchuteError) else {}
-            self.log.write("reload", kept="the running operator file", reason=str(error), **error_fields)
+            settings = self.operator_file.read()
+            sections = self._prepare(settings)
+        except HillchuteError as error:
+            self.log.write("reload", kept="the running operator file", reason=str(error), **error.log_fields)
             return []
-
-    def _apply(self, settings: OperatorSettings) -> list[str]:
-        """Applies the changes that need no restart; returns the paths of the others."""
         running = self.operator_file.settings
         restart = [section for section in ("engines", "log") if settings[section] != running[section]]
+        for section in sections:
+            section.apply()
+            restart += section.needs_restart
+        self.operator_file = self.operator_file._replace(settings=settings)
+        return restart
+
+    def _prepare(self, settings: OperatorSettings) -> list[PreparedReload]:
+        """Checks the sections of the components; raises HillchuteError if one can't be used."""
+        running = self.operator_file.settings
+        prepared: list[PreparedReload] = []
         flight = settings.get("flight")
         if self.flight is not None and flight is not None:
-            restart += [f"flight.{name}" for name in self.flight.reload_settings(flight)]
+            prepared.append(self.flight.prepare_reload(flight))
         elif running.get("flight") != flight:
-            restart.append("flight")
+            prepared.append(NeedsRestart(["flight"]))
         peers = settings.get("peers")
         if self.extension is not None and peers is not None:
-            restart += self.extension.reload(settings)
+            prepared.append(self.extension.prepare_reload(settings))
         elif running.get("peers") != peers:
-            restart.append("peers")
-        self.operator_file = self.operator_file._replace(settings=settings)
-        return restart
+            prepared.append(NeedsRestart(["peers"]))
+        return prepared
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -20,10 +20,12 @@
 from hillchute.discovery import event_bus
 from hillchute.discovery.event_bus import Endpoint, WatchEvent
 from hillchute.errors import HillchuteError
+from hillchute.fronts.flight import server as flight
 from hillchute.history.sqlite_store import SqliteStore
 from hillchute.lab import deployment
 from hillchute.lab.faulty_system import Fault, FaultySystemCalls
 from hillchute.lab.history_net import EPOCH
+from hillchute.log import Log
 from hillchute.operator import reading
 from hillchute.partners.agreements import derive_agreement
 from hillchute.partners.signature_journal import SignatureJournal
@@ -76,6 +78,14 @@
     list(event_bus.WatchEventDecoder().feed(event_bus.FRAME_HEADER.pack(5, 0, 250) + b"x" * 50))
 
 
+def missing_tls_keys(tmp_path: Path) -> None:
+    path = str(tmp_path / "none")
+    tls = f'tls: {{certificate: "{path}", key: "{path}"}}'
+    settings = reading.parse_settings(f'flight: {{listen: "127.0.0.1:1", {tls}}}')["flight"]
+    server = flight.Server(settings, {}, Log("n", -1), lambda: 0, None, None)
+    server.credentials(settings["tls"])
+
+
 def invalid_datagram(tmp_path: Path) -> None:
     datagrams.decode(b"", "a", {"b": KEY})
 
@@ -105,6 +115,7 @@
     [
         (errors.ConfigurationError, bad_configuration),
         (errors.OperatorFileError, missing_operator_file),
+        (errors.FlightKeysError, missing_tls_keys),
         (errors.EventBusProtocolError, invalid_watch_event),
         (errors.InvalidDatagramError, invalid_datagram),
         (errors.PeerListenError, peer_address_in_use),
@@ -188,7 +199,7 @@
 
 def policies_rejected(log: RecordingLog, tmp_path: Path) -> None:
     extension, settings = history_extension(log)
-    extension.reload(settings | {"number": 1})
+    extension.prepare_reload(settings | {"number": 1})()
 
 
 def policies_stale(log: RecordingLog, tmp_path: Path) -> None:
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -18,6 +18,7 @@
 from hillchute.decision.scheduler import QueryScheduler
 from hillchute.engines import words
 from hillchute.engines.flight import links
+from hillchute.errors import OperatorFileError
 from hillchute.fronts.flight import answers, catalog, identity, server, tickets
 from hillchute.lab import rules
 from hillchute.lab.clients import FlightClient, MySQLClient, Query
@@ -114,7 +115,9 @@
     )
     issued_token = flight_server.authenticator.issue_token(0, "bi")
     text = text.replace("old", "new").replace(":1", ":2").replace("tickets: 5", "tickets: 1")
-    assert flight_server.reload_settings(reading.parse_settings(text)["flight"]) == ["listen"]
+    reload = flight_server.prepare_reload(reading.parse_settings(text)["flight"])
+    assert reload.needs_restart == ["flight.listen"] and flight_server.tickets.max_entries == 5
+    reload.apply()
     assert flight_server.settings["listen"] == "127.0.0.1:1" and flight_server.tickets.max_entries == 1
     assert (
         flight_server.authenticator.authenticate(0, "Bearer new")
@@ -124,8 +127,11 @@
     with pytest.raises(identity.AuthenticationError):
         flight_server.authenticator.authenticate(0, "Bearer old")
     text_with_missing_file = text.replace('token: "new"', f'token_file: "{tmp_path}/none"')
-    with pytest.raises(ValueError, match="flight.users"):
-        flight_server.reload_settings(reading.parse_settings(text_with_missing_file)["flight"])
+    with pytest.raises(OperatorFileError, match=r"flight.users\[0\].token_file"):
+        reading.parse_settings(text_with_missing_file)
+    removed_file = {"users": [{"name": "bi", "token_file": f"{tmp_path}/none"}]}  # after it was checked
+    with pytest.raises(OperatorFileError, match="flight.users"):
+        flight_server.prepare_reload(reading.parse_settings(text)["flight"] | removed_file)
     assert flight_server.authenticator.authenticate(0, "Bearer new") == "bi"
 
 
--- a/tests/test_partnering.py
+++ b/tests/test_partnering.py
@@ -244,11 +244,12 @@
     extension, log, settings_section = partner_extension(tmp_path)
     (offer, _) = extension.negotiation.ledger.offers["a"]
     assert (offer.partner, offer.desired_share, offer.ends_at) == ("a", 5000, 90)
-    extension.reload(settings_section | {"offer": settings_section["offer"] | {"turn": 3, "want": 6000}})
+    later_offer = settings_section["offer"] | {"turn": 3, "want": 6000}
+    extension.prepare_reload(settings_section | {"offer": later_offer}).apply()
     assert extension.negotiation.ledger.offers["a"][0].desired_share == 6000
-    extension.reload(settings_section | {"offer": settings_section["offer"] | {"turn": 2}})
+    extension.prepare_reload(settings_section | {"offer": settings_section["offer"] | {"turn": 2}}).apply()
     assert [fields["error"] for event, fields in log.lines if "error" in fields] == ["InvalidAgreementError"]
-    assert extension.reload(settings_section | {"own": "b"}) == ["partners.own"]
+    assert extension.prepare_reload(settings_section | {"own": "b"}).needs_restart == ["partners.own"]
 
 
 def test_router_without_a_key_signs_nothing_and_an_invalid_journal_is_logged(tmp_path):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -6,7 +6,7 @@
 import pytest
 from rounds_by_hand import RecordingLog, RouterHarness
 
-from hillchute.errors import ConfigurationError
+from hillchute.errors import ConfigurationError, OperatorFileError
 from hillchute.fronts.events import FIRST_FLIGHT_SESSION, FIRST_FORWARDED_SESSION
 from hillchute.router import config
 from hillchute.router.alarm import Alarm
@@ -135,16 +135,14 @@
 class Component:
     """Stands in for the Flight SQL frontend and the extension; each names a setting that needs a restart."""
 
-    def __init__(self):
-        self.applied = []
+    def __init__(self, section):
+        self.section, self.applied = section, []
 
-    def reload_settings(self, settings):
-        self.applied.append(settings)
-        return ["listen"]
-
-    def reload(self, settings):
-        self.applied.append(settings["peers"])
-        return ["peers.listen"]
+    def prepare_reload(self, settings):
+        settings = settings.get(self.section, settings)
+        return SimpleNamespace(
+            needs_restart=[f"{self.section}.listen"], apply=lambda: self.applied.append(settings)
+        )
 
 
 class Reload:
@@ -187,7 +185,7 @@
     running = {"engines": {}, "log": {}}
 
     def raise_error():
-        raise ValueError("not an operator file")
+        raise OperatorFileError("not an operator file")
 
     reload = Reload(rig, monkeypatch, running, raise_error)
     assert [fields.get("kept") for _, fields in reload.log.lines] == ["the running operator file", None]
@@ -201,7 +199,7 @@
 def test_running_components_apply_their_settings_and_name_what_needs_a_restart(rig, monkeypatch):
     running = {"engines": {}, "log": {}, "flight": {"users": []}, "peers": {"name": "a"}}
     changed = {"engines": {}, "log": {"alike": 1}, "flight": {"users": ["u"]}, "peers": {"name": "b"}}
-    flight, extension = Component(), Component()
+    flight, extension = Component("flight"), Component("peers")
     reload = Reload(rig, monkeypatch, running, lambda: changed, flight, extension)
     assert flight.applied == [{"users": ["u"]}] and extension.applied == [{"name": "b"}]
     assert reload.needs_restart() == ["log", "flight.listen", "peers.listen"]
@@ -214,5 +212,5 @@
     with_section = without | {section: {"listen": "127.0.0.1:1"}}
     assert Reload(rig, monkeypatch, without, lambda: with_section).needs_restart() == [section]
     parameter = {"flight": "flight", "peers": "extension"}[section]
-    removed = Reload(rig, monkeypatch, with_section, lambda: without, **{parameter: Component()})
+    removed = Reload(rig, monkeypatch, with_section, lambda: without, **{parameter: Component(section)})
     assert removed.needs_restart() == [section]
