An unreadable result of a Flight SQL engine is logged as the engine's

Operators saw `fault`, the router's own, for a malformed result of an engine; since faults are counted, it would count as one of the router as well.

Cause: `except InvalidFlightDataError` stood after `except Exception` and was never reached, so that result_unreadable was never logged.

Change: the two handlers change places. The run ends as before.

--- a/hillchute/engines/flight/links.py
+++ b/hillchute/engines/flight/links.py
@@ -341,12 +341,12 @@
                     raise
                 # gRPC raises the cancellation of a call in the task that awaits it: only this run ends.
                 self.end_run(connection, run, "severed", None)
-            except Exception as error:
-                self.on_fault("run", error)
-                self.end_run(connection, run, "severed", None)
             except arrow.InvalidFlightDataError as error:
                 self.log.write("result_unreadable", connection=connection.number, reason=str(error))
                 self.end_run(connection, run, "severed", None)
+            except Exception as error:
+                self.on_fault("run", error)
+                self.end_run(connection, run, "severed", None)
 
     def end_run(self, connection: FlightConnection, run: words.StartRun, result: str, trailers) -> None:
         """Reports the end of a run without a result, unless the run was cancelled."""
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -13,6 +13,7 @@
 from adbc_driver_flightsql import DatabaseOptions, StatementOptions
 from adbc_driver_flightsql import dbapi as adbc
 from conftest import CATALOG
+from rounds_by_hand import RecordingLog
 
 from hillchute.decision.interface import SECOND, EndpointState
 from hillchute.decision.scheduler import QueryScheduler
@@ -307,6 +308,30 @@
     assert faults == [("faulty", "KeyError('x')")]
 
 
+@pytest.mark.parametrize("is_unreadable", [True, False], ids=["unreadable result", "internal error"])
+def test_unreadable_result_of_an_engine_is_not_counted_as_a_fault_of_the_router(is_unreadable):
+    """Guards against an engine's malformed results that are logged as the router's own faults."""
+    faults, handled, log = [], [], RecordingLog()
+    run = words.StartRun("a" * 16, "lookup", 1_000, None, None, b"SELECT 1")
+
+    async def run_query(connection, run):
+        raise arrow.InvalidFlightDataError("no schema") if is_unreadable else KeyError("x")
+
+    async def run_on_a_connection():
+        connections = links.FlightConnections(
+            {}, log, handled.append, links.ConnectionLimits(1, 1), lambda *fault: faults.append(fault)
+        )
+        connections.run_query = run_query
+        connection = links.FlightConnection(connections, 7)
+        connection.is_open = True
+        await connections.run(connection, run)
+
+    anyio.run(run_on_a_connection)
+    assert handled == [events.MessageReceived(7, words.RunEnded(run.id, "severed", None, None))]
+    assert bool(faults) != is_unreadable
+    assert ("result_unreadable" in [event for event, _ in log.lines]) == is_unreadable
+
+
 # ---- a router in a process --------------------------------------------------------------------------
 
 USERS = """
