History: runs of a key have identities that hold across erasures

Cause: the router of the erased run repeats its report until it is answered. RecordStore.put stores nothing for a run to be erased, but removed the record with the same id if its version was lower; and since runs were numbered from 1 again after the erasure, and running is below served, that was the record of the run in progress. Claims.handle_completion did not look which run it was.

Change: RunId (number, time of the grant, claim) orders the runs of a key before their states. The number of a new run is above those of all removed records and at least the time in units of 10 ms (RecordStore.next_attempt). put removes a record only for a version of the same run; a report of an earlier run than the known one is answered and changes nothing.

--- a/hillchute/history/claims.py
+++ b/hillchute/history/claims.py
@@ -142,7 +142,7 @@
             idempotency_key=claim.idempotency_key,
             granted_at=self._context.now,
             sequence=sequence,
-            attempt=1 + (known.record.attempt if known is not None else 0),
+            attempt=self._records.next_attempt(known, self._context.now),
             router=claim_id.router,
             incarnation=claim_id.incarnation,
             claim_number=claim_id.number,
@@ -167,7 +167,12 @@
                 context.send(sender, CompletionReply(record.claim_number, record.incarnation))
                 return
             record = msgspec.structs.replace(known.record, state=RecordState.NOT_RUN)
-        age = context.now - known.since if known is not None else 0
+        if known is not None and known.record.run_id > record.run_id:
+            # A later run was granted, on all holders, after this one was erased: its outcome matters no more.
+            context.send(sender, CompletionReply(record.claim_number, record.incarnation))
+            return
+        is_known = known is not None and known.record.run_id == record.run_id
+        age = context.now - known.since if known is not None and is_known else 0
         record = self._records.fit_rows(record, context.now, context.policies)
         self._records.put(record, context.now, age, context.policies)
         self._replication.replicate(record)
--- a/hillchute/history/record_store.py
+++ b/hillchute/history/record_store.py
@@ -23,6 +23,11 @@
 EVICTION_RETRY: Time = 10_000  # one second between two searches for evictable records of a customer
 EVICTION_DIVISOR = 64  # one search evicts at most `most_records` divided by this
 
+ATTEMPT_TICK: Time = 100  # 10 ms; attempts that are times stay far below the codec's bound
+MAX_ATTEMPT_LEAD = (
+    2 * 3_600 * 100
+)  # two hours in ticks: no clock is further ahead; a faulty peer's number may be
+
 RecordsOfKey = dict[str, RetainedRecord]  # by idempotency key
 
 
@@ -35,6 +40,7 @@
         self.size_bytes = 0
         self.full_until: dict[str, Time] = {}  # by customer: the time before which no record can be evicted
         self.unsaved: dict[RecordId, Record | None] = {}  # not yet in the durable store; None: a removal
+        self.highest_removed_attempt = 0
 
     # ---- queries --------------------------------------------------------------------------------------
 
@@ -52,6 +58,18 @@
         sequences = (each.record.sequence for each in self.records_of_key(customer, ordering_key))
         return 1 + max(sequences, default=0)
 
+    def next_attempt(self, known: RetainedRecord | None, now: Time) -> int:
+        """Returns the number of the next run of the id whose record is `known`, or that has no record.
+
+        It is above that of any earlier run, also of one whose record was removed: a late report of that run
+        must not be taken for one of the new run. Numbers are times, in case the removal was not seen here.
+        """
+        highest = known.record.attempt if known is not None else 0
+        time = now // ATTEMPT_TICK
+        if self.highest_removed_attempt <= time + MAX_ATTEMPT_LEAD:
+            highest = max(highest, self.highest_removed_attempt)
+        return max(highest + 1, time)
+
     def records_of_slot(self, slot: int) -> Iterator[RetainedRecord]:
         """Yields all records of one slot."""
         for key_records in self.slots[slot].values():
@@ -71,8 +89,9 @@
         a run in progress is stored whatever the policies say, and stays until the run ends.
         """
         if self._is_erased(record, age, policies):
+            self.highest_removed_attempt = max(self.highest_removed_attempt, record.attempt)
             older = self.find(*record.id)
-            if older is not None and older.record.version < record.version:
+            if older is not None and older.record.run_id == record.run_id:
                 self.remove(older.record)
             return False
         key = (record.customer, record.ordering_key)
@@ -87,8 +106,8 @@
         else:
             self.size_bytes -= old.record.size
         since = now - age
-        if old is not None and old.record.attempt == record.attempt:
-            # Of two ages of one attempt the higher is right: a copy does not age while it is being sent.
+        if old is not None and old.record.run_id == record.run_id:
+            # Of two ages of one run the higher is right: a copy does not age while it is being sent.
             since = min(since, old.since)
         key_records[record.idempotency_key] = RetainedRecord(record, since)
         self.size_bytes += record.size
@@ -112,6 +131,7 @@
         self.count_by_customer[record.customer] -= 1
         self.size_bytes -= record.size
         self.unsaved[record.id] = None
+        self.highest_removed_attempt = max(self.highest_removed_attempt, record.attempt)
 
     def remove_slot(self, slot: int) -> None:
         """Removes all records of a slot."""
--- a/hillchute/history/records.py
+++ b/hillchute/history/records.py
@@ -37,6 +37,14 @@
     number: int
 
 
+class RunId(NamedTuple):
+    """Identifies a run among all runs of one record's id, also after erasures; later runs are higher."""
+
+    attempt: int
+    granted_at: Time
+    claim: ClaimId
+
+
 class Record(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
     """The record of one keyed query. The order of the fields is part of the wire and file formats."""
 
@@ -45,7 +53,7 @@
     idempotency_key: str
     granted_at: Time  # Unix time, by the clock of the holder that granted the claim
     sequence: int  # position in the order of its key; 0 for a transient record
-    attempt: int  # claims granted for its idempotency key so far; the highest one decides
+    attempt: int  # number of the run; later runs of its idempotency key have higher ones (next_attempt())
     router: str  # that runs the query
     incarnation: int  # of that router
     claim_number: int  # assigned by that router
@@ -70,9 +78,14 @@
         return self.sequence == 0
 
     @property
-    def version(self) -> tuple[int, bool, int]:
+    def run_id(self) -> RunId:
+        """The run that it records."""
+        return RunId(self.attempt, self.granted_at, self.claim_id)
+
+    @property
+    def version(self) -> tuple[RunId, bool, int]:
         """Orders versions, which arrive in any order and repeatedly: the highest replaces all others."""
-        return self.attempt, self.state != RecordState.RUNNING, self.state
+        return self.run_id, self.state != RecordState.RUNNING, self.state
 
     @property
     def size(self) -> int:
--- a/hillchute/lab/history_net.py
+++ b/hillchute/lab/history_net.py
@@ -370,11 +370,13 @@
     return RetentionPolicies(number=1, founded=EPOCH // MS * MS, **fields)
 
 
-def run_random_faults(net: HistoryNet, seed: int, seconds: float, with_erasures: bool = False) -> bool:
+def run_random_faults(
+    net: HistoryNet, seed: int, seconds: float, with_erasures: bool = False, pair_cut_share: float = 0.0
+) -> bool:
     """Runs random queries, resends and faults, then heals all faults.
 
-    The faults are deaths, restarts, cuts in one or both directions and suspended processes. Returns whether
-    the fleet settled afterwards.
+    The faults are deaths, restarts, cuts in one or both directions and suspended processes. Of them,
+    `pair_cut_share` are cuts between two routers alone. Returns whether the fleet settled afterwards.
     """
     rng, queries = random.Random(seed), []
     next_fault_at, end = net.now, net.now + int(seconds * SECOND)
@@ -386,7 +388,11 @@
             else:
                 net.ask(rng.choice(net.names), *rng.choice(queries[-30:]))
         if net.now >= next_fault_at:
-            inject_random_fault(net, rng, with_erasures)
+            if pair_cut_share and rng.random() < pair_cut_share:
+                one, other = rng.sample(net.names, 2)
+                net.cut([one], [other], both=rng.random() < 0.6)
+            else:
+                inject_random_fault(net, rng, with_erasures)
             next_fault_at = net.now + rng.choice([0, 0, 2, 6, 12]) * SECOND
         net.advance(rng.choice([0.1, 0.2, 0.5]))
     net.heal()
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -1,5 +1,7 @@
 """The answer history: retention policies, placement of records, and no query run twice under faults."""
 
+import random
+
 import msgspec
 import pytest
 from cpu_limit import cpu_limit
@@ -9,8 +11,9 @@
 from hillchute.errors import InvalidDatagramError
 from hillchute.history import codec, messages
 from hillchute.history.claim_decision import ClaimDecision, ClaimFacts, decide
+from hillchute.history.codec import BOUNDS
 from hillchute.history.own_claims import KeyedQuery
-from hillchute.history.record_store import RecordStore
+from hillchute.history.record_store import ATTEMPT_TICK, RecordStore
 from hillchute.history.records import COMPLETION_GRACE, Record, RecordState, RetainedRecord
 from hillchute.history.replica import Replica
 from hillchute.history.replica_context import Membership
@@ -182,6 +185,61 @@
     assert not list(store.all_records())
 
 
+def later_run(store, now, **fields):
+    """Returns the record of a new run of the key whose record is not known."""
+    attempt = store.next_attempt(None, now)
+    run = {"router": "n1", "claim_number": 7, "state": RecordState.RUNNING, "rows": None} | fields
+    return record(attempt=attempt, granted_at=now, **run)
+
+
+@pytest.mark.parametrize("clock_lag", [0, 3_600 * SECOND], ids=["clocks agree", "an hour behind"])
+def test_repeated_report_of_an_erased_run_does_not_remove_the_record_of_a_later_run(clock_lag):
+    """Guards against a run that starts beside another of its key, whose record an old report has removed."""
+    store, policies = (
+        RecordStore(),
+        RetentionPolicies(default=POLICY, erasure_requests=(ErasureRequest(EPOCH + 1),)),
+    )
+    attempt = EPOCH // ATTEMPT_TICK
+    store.put(record(attempt=attempt, state=RecordState.RUNNING, rows=None), EPOCH, 0, policies)
+    assert not store.put(record(attempt=attempt), EPOCH, 0, policies)
+    if clock_lag:  # the slot is now at a router that has not seen the erased run
+        store = RecordStore()
+    later = later_run(store, EPOCH + SECOND - clock_lag)
+    assert store.put(later, EPOCH + SECOND - clock_lag, 0, policies)
+    assert not store.put(record(attempt=attempt), EPOCH + 2 * SECOND - clock_lag, 0, policies)
+    assert [retained.record for retained in store.all_records()] == [later]
+
+
+def test_runs_that_an_older_version_numbered_alike_are_told_apart():
+    """Guards against an old run's outcome that replaces the record of a later run with the same number."""
+    store = RecordStore()
+    later = record(granted_at=EPOCH + 1, claim_number=2, state=RecordState.RUNNING, rows=None)
+    assert store.put(later, EPOCH, 0, RetentionPolicies())
+    assert not store.put(record(), EPOCH, 0, RetentionPolicies())
+    assert [retained.record for retained in store.all_records()] == [later]
+
+
+def test_attempt_numbers_rise_across_erasures_and_stay_within_the_codec_bound():
+    store = RecordStore()
+    now = 17_967_744_000_000 + 100 * 365 * 86_400 * SECOND  # a century after December 2026
+    first = store.next_attempt(None, now)
+    store.put(record(attempt=first), now, 0, RetentionPolicies())
+    (retained,) = store.all_records()
+    assert store.next_attempt(retained, now) == first + 1
+    store.remove(retained.record)
+    assert first < store.next_attempt(None, now) <= BOUNDS["attempt"]
+    assert first < store.next_attempt(None, now - SECOND)  # the clock of a router that was behind
+
+
+def test_attempt_number_of_a_faulty_router_does_not_use_up_the_numbers():
+    """Guards against one record with the highest number, after whose removal no run can be granted."""
+    store = RecordStore()
+    faulty = record(attempt=BOUNDS["attempt"])
+    store.put(faulty, EPOCH, 0, RetentionPolicies())
+    store.remove(faulty)
+    assert store.next_attempt(None, EPOCH) == EPOCH // ATTEMPT_TICK
+
+
 def test_record_of_a_running_query_is_erased_when_the_run_ends():
     store, policies = (
         RecordStore(),
@@ -743,6 +801,39 @@
     assert not net.broken_rules
 
 
+@pytest.mark.parametrize("seed", [20_060, 20_098])
+def test_late_reports_of_erased_runs_violate_no_invariant(seed):
+    """Guards against a report of an erased run that removes the record of a later run of its key."""
+    least_ms = random.Random(seed).choice([8_000, 20_000, 60_000])
+    policy = msgspec.structs.replace(POLICY, least_ms=least_ms)
+    net = settled_net(5, seed % 3, seed, policy, loss_rate=0.05, duplicate_rate=0.05, not_sent_rate=0.05)
+    run_random_faults(net, seed, 90, with_erasures=True, pair_cut_share=0.35)
+    assert not net.broken_rules
+
+
+def test_late_report_of_an_erased_run_leaves_the_run_in_progress_alone():
+    """Guards against a second run beside one in progress: its router's report of an erased run comes late."""
+    net = settled_net(3, copies=0)
+    holder, runner, other = net.names
+    key = key_first_held_by(net, holder)
+    assert decision_at(net, runner, "t", key) == "RUN"
+    net.advance(20)
+    replica = net.replicas[holder]
+    (ended,) = replica.records.records_of_key("", key)
+    net.request_erasure(holder)
+    net.advance(2)
+    net.ask(other, "t", key)
+    while not replica.records.records_of_key("", key):
+        net.advance(0.1)
+    (running,) = replica.records.records_of_key("", key)
+    assert running.record.state == RecordState.RUNNING and running.record.run_id > ended.record.run_id
+    report = msgspec.structs.replace(ended.record, state=RecordState.SERVED)
+    replica.receive(net.clock(holder), runner, messages.Completion(replica.views.view.id, report))
+    assert replica.records.records_of_key("", key) == [running]
+    reply = messages.CompletionReply(report.claim_number, report.incarnation)
+    assert (runner, reply) in replica.take_messages()
+
+
 def test_messages_to_a_replica_without_a_view_have_no_effect():
     replica = Replica(Membership("a", 1, ["a", "b", "c"], lambda: {"a": 1}), RetentionPolicies(), EPOCH)
     claim = messages.ClaimRequest(ViewId(1, "b"), 1, 1, "", "k", "t", SECOND, False)
