History: a run granted before waits while another of its key may be running

Cause: a first holder had stored a run's record but not all holders did, so its router went on asking; the next view, of other routers, granted another query of the key; in a third view the first holder had both records. A claim whose own record is running was granted again without a look at other runs, and so was the periodic announcement of unfinished runs, whose reply is a grant.

Change: such a claim waits while another run of its key has not ended; no grant is announced while a key has several runs that have not ended.

--- a/hillchute/history/claim_decision.py
+++ b/hillchute/history/claim_decision.py
@@ -66,6 +66,10 @@
 
 
 def _decide_running(facts: ClaimFacts, known: RetainedRecord, now: Time) -> ReasonedDecision:
+    if facts.is_repeated and facts.earlier_running is not None:
+        # Two views may each have granted a run of the key, of which at least one was stored by some holders
+        # only. Which of them has begun is not known here.
+        return ReasonedDecision(ClaimDecision.WAIT, "one of its key is out")
     if facts.is_repeated:
         return ReasonedDecision(ClaimDecision.RUN, "granted before")
     if not known.may_be_running(now):
--- a/hillchute/history/replication.py
+++ b/hillchute/history/replication.py
@@ -10,7 +10,7 @@
 from hillchute.history.durability import Durability
 from hillchute.history.messages import ClaimReply, CompletionReply, ReplicateReply, ReplicateRequest
 from hillchute.history.record_store import RecordStore
-from hillchute.history.records import Record, RecordId, RecordState
+from hillchute.history.records import Record, RecordId, RecordState, RetainedRecord
 from hillchute.history.replica_context import RETRY_INTERVAL, ReplicaContext
 from hillchute.history.slot_authority import SlotAuthority
 from hillchute.history.slot_placement import slot_of
@@ -118,7 +118,8 @@
         """Replicates again the records of a slot's unfinished runs, so that their routers get another reply.
 
         A router without that claim ends the record. Guards against a round that a new view or a lost message
-        interrupted after its claim had been abandoned.
+        interrupted after its claim had been abandoned. Not sent if several runs of a key have not ended: the
+        reply is a grant, and in an ordered key another run may have begun.
         """
         context = self._context
         has_records = bool(self._records.slots[number])
@@ -129,9 +130,21 @@
             record = retained.record
             if record.state != RecordState.RUNNING or context.now - retained.since <= VIEW_LEASE:
                 continue
+            if self._has_another_run(retained):
+                continue
             if retained.may_be_running(context.now) and live_routers.get(record.router) == record.incarnation:
                 self.replicate(record)
 
+    def _has_another_run(self, retained: RetainedRecord) -> bool:
+        """Whether another run of the record's key may be in progress."""
+        record = retained.record
+        return any(
+            other is not retained
+            and other.record.state == RecordState.RUNNING
+            and other.may_be_running(self._context.now)
+            for other in self._records.records_of_key(record.customer, record.ordering_key)
+        )
+
     def tick(self) -> None:
         """Repeats unanswered requests, and drops rounds that are not complete after VIEW_LEASE."""
         now = self._context.now
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -801,9 +801,16 @@
     assert not net.broken_rules
 
 
-@pytest.mark.parametrize("seed", [20_060, 20_098])
-def test_late_reports_of_erased_runs_violate_no_invariant(seed):
-    """Guards against a report of an erased run that removes the record of a later run of its key."""
+@pytest.mark.parametrize(
+    "seed",
+    [
+        pytest.param(20_060, id="a report of an erased run comes late"),
+        pytest.param(20_098, id="a report of an erased run comes late, second"),
+        pytest.param(30_227, id="two views have granted runs of one key"),
+    ],
+)
+def test_cuts_between_two_routers_violate_no_invariant(seed):
+    """Guards against runs beside each other after faults that the fleet as a whole does not notice."""
     least_ms = random.Random(seed).choice([8_000, 20_000, 60_000])
     policy = msgspec.structs.replace(POLICY, least_ms=least_ms)
     net = settled_net(5, seed % 3, seed, policy, loss_rate=0.05, duplicate_rate=0.05, not_sent_rate=0.05)
@@ -834,6 +841,37 @@
     assert (runner, reply) in replica.take_messages()
 
 
+def test_run_granted_before_waits_while_another_of_its_key_may_be_in_progress():
+    """Guards against two runs of a key that two views have granted, both of whose claims are repeated."""
+    known = RetainedRecord(record(state=RecordState.RUNNING, rows=None), EPOCH)
+    other = RetainedRecord(record("u", state=RecordState.RUNNING, rows=None), EPOCH)
+    facts = ClaimFacts(customer="", known=known, is_router_live=True, is_repeated=True)
+    policies = RetentionPolicies()
+    assert decide(policies, facts, EPOCH, lambda: True).decision is ClaimDecision.RUN
+    facts = msgspec.structs.replace(facts, earlier_running=other)
+    assert decide(policies, facts, EPOCH, lambda: True).decision is ClaimDecision.WAIT
+
+
+def test_grant_is_not_announced_again_while_two_runs_of_its_key_have_not_ended():
+    """Guards against an announcement that grants a run beside another of its key."""
+    net = settled_net(3, copies=0)
+    (holder, runner, _), key = net.names, key_first_held_by(net, net.names[0])
+    replica = net.replicas[holder]
+    run = {"state": RecordState.RUNNING, "rows": None, "router": runner, "timeout": 60 * SECOND}
+    run |= {"incarnation": net.incarnations[runner], "granted_at": net.now}
+    first, second = record("t", key=key, **run), record("u", key=key, **run | {"claim_number": 2})
+
+    def announced():
+        replica.context.now = net.clock(holder)
+        replica.replication.announce_running(slot_of("", key))
+        return [message for _, message in replica.take_messages() if isinstance(message, messages.ClaimReply)]
+
+    assert replica.records.put(first, net.clock(holder), VIEW_LEASE + 1, replica.policies)
+    assert [reply.record for reply in announced()] == [first]
+    assert replica.records.put(second, net.clock(holder), VIEW_LEASE + 1, replica.policies)
+    assert announced() == []
+
+
 def test_messages_to_a_replica_without_a_view_have_no_effect():
     replica = Replica(Membership("a", 1, ["a", "b", "c"], lambda: {"a": 1}), RetentionPolicies(), EPOCH)
     claim = messages.ClaimRequest(ViewId(1, "b"), 1, 1, "", "k", "t", SECOND, False)
