History: empty at the start only if no earlier view can have existed

Cause: for a minute after `founded_ms` the slots of a first view counted as empty; a view is first if its routers have granted nothing in their present incarnation, which holds for restarted routers as well.

Change: the slots count as empty only if each member of the first view has started less than 8 s after `founded_ms`. No router promises or grants in its first 8 s, and an earlier view shares a member with this one, which would have restarted since: so there was none.

test_clock_offsets_do_not_change_retention_times took for empty what routers with clocks up to 80 s ahead had started; this is no longer assumed. It sets founded_ms to the start by the last of these clocks and asks for the same.

--- a/hillchute/history/claim_decision.py
+++ b/hillchute/history/claim_decision.py
@@ -13,8 +13,6 @@
 from hillchute.history.records import Record, RecordState, RetainedRecord
 from hillchute.history.retention import MS, RetentionPolicies
 
-FOUNDING_GRACE: Time = 600_000  # one minute after `founded`, for routers to start and discover each other
-
 
 class ClaimDecision(Enum):
     """The decision on a claim. The values are sent between routers."""
--- a/hillchute/history/retention.py
+++ b/hillchute/history/retention.py
@@ -60,7 +60,7 @@
     number: int = 0
     copies: int = 2  # holders of a record in addition to the first
     erase_ms: int = 2000  # time limit for erasure from every live holder
-    founded: Time = 0  # Unix time of the history's start; a loss up to FOUNDING_GRACE later lost no records
+    founded: Time = 0  # Unix time of the history's start; a loss before it counts as none
     default: RetentionPolicy = RetentionPolicy()
     customers: dict[str, RetentionPolicy] = {}
     erasure_requests: tuple[ErasureRequest, ...] = ()
@@ -99,10 +99,6 @@
         policy = self.policy_for(customer)
         return age > policy.least_ms * MS and not policy.hold
 
-    def was_empty_at(self, lost_at: Time, grace: Time) -> bool:
-        """Whether a loss at that Unix time lost no records, as none existed yet according to `founded`."""
-        return self.founded > 0 and lost_at <= self.founded + grace
-
 
 def first_invalid_field(policies: RetentionPolicies) -> str:
     """Returns the first invalid field, by its name in the operator file; "" for valid policies."""
--- a/hillchute/history/slot_table.py
+++ b/hillchute/history/slot_table.py
@@ -11,11 +11,11 @@
 import msgspec
 
 from hillchute.decision.interface import Time
-from hillchute.history.claim_decision import FOUNDING_GRACE
 from hillchute.history.ownership_leases import OwnershipLease
 from hillchute.history.replica_context import ReplicaContext
+from hillchute.history.retention import MS
 from hillchute.history.slot_placement import SLOTS, holders
-from hillchute.history.views import VIEW_LEASE, View, ViewId
+from hillchute.history.views import FIRST_GRANT_DELAY, VIEW_LEASE, View, ViewId
 
 MAX_RETAINED_VIEWS = 64  # adopted views that are kept to be applied to a slot one by one when it is next used
 
@@ -81,7 +81,7 @@
         slot.released_at = None
         if view.predecessor is None:
             self.declare_lost(number, slot, view)
-            if view.is_first and context.policies.was_empty_at(context.now, FOUNDING_GRACE):
+            if view.is_first and self._is_first_since_founding(view):
                 slot.lost_at = None
         elif slot.complete_in == view.predecessor:
             slot.complete_in = view.id
@@ -93,6 +93,17 @@
         # Otherwise a fetch begun in the previous view continues: this slot granted nothing in that view.
         slot.held_in = view.id
 
+    def _is_first_since_founding(self, view: View) -> bool:
+        """Whether no view can have existed before this one since the history was founded.
+
+        An earlier view has a member in common with this one, as both were promised by a majority. That member
+        does not know it, so it has restarted since; but no view can exist before FIRST_GRANT_DELAY has passed
+        since the first router's start, and each member has started before that.
+        """
+        founded = self._context.policies.founded
+        latest_start = max(view.members.values(), default=0) * MS
+        return founded > 0 and latest_start < founded + FIRST_GRANT_DELAY
+
     def start_fetch(self, number: int, slot: SlotState, epoch: ViewId, sources: Mapping[str, int]) -> None:
         """Starts fetching the slot's records as of the end of `epoch` from one of these routers."""
         slot.fetch_epoch = epoch
--- a/hillchute/history/view_protocol.py
+++ b/hillchute/history/view_protocol.py
@@ -19,6 +19,7 @@
 
 from hillchute.decision.interface import Time
 from hillchute.history.views import (
+    FIRST_GRANT_DELAY,
     HEARTBEAT_INTERVAL,
     MAX_CLOCK_DRIFT,
     NO_VIEW,
@@ -76,7 +77,7 @@
 
     def may_grant(self, now: Time) -> bool:
         """Whether promises and grants of an earlier incarnation can no longer have an effect."""
-        return now >= self.started_at + 2 * VIEW_LEASE * (1 + MAX_CLOCK_DRIFT)
+        return now >= self.started_at + FIRST_GRANT_DELAY * (1 + MAX_CLOCK_DRIFT)
 
     def is_plausible(self, now: Time, view_id: ViewId) -> bool:
         """Whether a view with this id may exist.
--- a/hillchute/history/views.py
+++ b/hillchute/history/views.py
@@ -13,6 +13,7 @@
 VIEW_LEASE: Time = 40_000  # of a view: four seconds, so that it outlasts the loss of three heartbeats
 # Maximum relative drift between two monotonic clocks over one lease; quartz stays within 0.0001.
 MAX_CLOCK_DRIFT = 0.01
+FIRST_GRANT_DELAY: Time = 2 * VIEW_LEASE  # at least, from a router's start to its first promise or grant
 HEARTBEAT_INTERVAL: Time = 10_000  # one second between heartbeats of the coordinator
 
 
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -763,9 +763,13 @@
 
 
 def test_clock_offsets_do_not_change_retention_times():
-    net = HistoryNet(4, 5, initial_policies(copies=1, default=POLICY))
-    for n, name in enumerate(net.names):
-        net.clock_offsets[name] = n * 20 * SECOND
+    offsets = [n * 20 * SECOND for n in range(5)]
+    policies = initial_policies(copies=1, default=POLICY)
+    # A router whose clock is ahead seems to have started late: the first start is that of the last clock.
+    founded = policies.founded + max(offsets)
+    net = HistoryNet(4, 5, msgspec.structs.replace(policies, founded=founded))
+    for offset, name in zip(offsets, net.names, strict=True):
+        net.clock_offsets[name] = offset
         net.kill(name)
         net.start(name)
     assert net.wait_until_settled(60)
@@ -802,19 +806,20 @@
 
 
 @pytest.mark.parametrize(
-    "seed",
+    ("seed", "with_erasures"),
     [
-        pytest.param(20_060, id="a report of an erased run comes late"),
-        pytest.param(20_098, id="a report of an erased run comes late, second"),
-        pytest.param(30_227, id="two views have granted runs of one key"),
+        pytest.param(20_060, True, id="a report of an erased run comes late"),
+        pytest.param(20_098, True, id="a report of an erased run comes late, second"),
+        pytest.param(20_013, False, id="all routers restart in the first minute"),
+        pytest.param(30_227, True, id="two views have granted runs of one key"),
     ],
 )
-def test_cuts_between_two_routers_violate_no_invariant(seed):
+def test_cuts_between_two_routers_violate_no_invariant(seed, with_erasures):
     """Guards against runs beside each other after faults that the fleet as a whole does not notice."""
     least_ms = random.Random(seed).choice([8_000, 20_000, 60_000])
     policy = msgspec.structs.replace(POLICY, least_ms=least_ms)
     net = settled_net(5, seed % 3, seed, policy, loss_rate=0.05, duplicate_rate=0.05, not_sent_rate=0.05)
-    run_random_faults(net, seed, 90, with_erasures=True, pair_cut_share=0.35)
+    run_random_faults(net, seed, 90, with_erasures=with_erasures, pair_cut_share=0.35)
     assert not net.broken_rules
 
 
@@ -841,6 +846,47 @@
     assert (runner, reply) in replica.take_messages()
 
 
+def settled_after_restarts(net: HistoryNet, names) -> HistoryNet:
+    """Restarts these routers at once, and waits until the fleet has settled."""
+    for name in names:
+        net.kill(name)
+    net.advance(1)
+    for name in names:
+        net.start(name)
+    assert net.wait_until_settled(60)
+    return net
+
+
+@pytest.mark.parametrize("restarted", [2, 3], ids=["most routers", "all routers"])
+def test_key_that_has_run_is_not_taken_for_new_after_restarts_in_the_first_minute(restarted):
+    """Guards against a second run of a key: an empty history was assumed for a minute after `founded_ms`."""
+    net = settled_net(3, copies=0, seed=restarted)
+    assert decision_at(net, "n0", "t", "k") == "RUN"
+    settled_after_restarts(net, net.names[:restarted])
+    assert net.now - EPOCH < 60 * SECOND  # the first minute
+    assert decision_at(net, "n0", "t", "k") in ("REPLAY", "REJECT")
+    assert decision_at(net, "n0", "u", "k") == "REJECT" and not net.broken_rules
+
+
+@pytest.mark.parametrize(
+    ("delay_ms", "clock_lead_ms", "decision"),
+    [(7_000, 0, "RUN"), (9_000, 0, "REJECT"), (0, 7_000, "RUN"), (0, 9_000, "REJECT")],
+)
+def test_history_counts_as_empty_if_all_routers_of_the_first_view_start_in_time(
+    delay_ms, clock_lead_ms, decision
+):
+    """Guards against an empty history that is assumed where an earlier view may have existed, or never."""
+    net = HistoryNet(1, 3, initial_policies(copies=0, default=POLICY))
+    net.clock_offsets["n2"] = clock_lead_ms * SECOND // 1_000
+    for name in net.names:
+        net.kill(name)
+    net.advance(delay_ms / 1_000)
+    for name in net.names:
+        net.start(name)
+    assert net.wait_until_settled(60)
+    assert decision_at(net, "n0", "t", "k") == decision
+
+
 def test_run_granted_before_waits_while_another_of_its_key_may_be_in_progress():
     """Guards against two runs of a key that two views have granted, both of whose claims are repeated."""
     known = RetainedRecord(record(state=RecordState.RUNNING, rows=None), EPOCH)
