History: a view is not the first if a router that promised is no member

It rests on the starts of the view's members. A router that promised and was then no longer live is no member, and may be the one that has forgotten a view.

Change: is_first also asks that all routers that promised are members.

Measured: test_view_is_not_the_first_if_a_router_that_promised_is_no_member fails before and passes after.

--- a/hillchute/history/record_store.py
+++ b/hillchute/history/record_store.py
@@ -24,9 +24,8 @@
 EVICTION_DIVISOR = 64  # one search evicts at most `most_records` divided by this
 
 ATTEMPT_TICK: Time = 100  # 10 ms; attempts that are times stay far below the codec's bound
-MAX_ATTEMPT_LEAD = (
-    2 * 3_600 * 100
-)  # two hours in ticks: no clock is further ahead; a faulty peer's number may be
+# Two hours, in ticks: numbers further ahead of the clock are a faulty router's.
+MAX_ATTEMPT_LEAD = 2 * 3_600 * 100
 
 RecordsOfKey = dict[str, RetainedRecord]  # by idempotency key
 
--- a/hillchute/history/view_protocol.py
+++ b/hillchute/history/view_protocol.py
@@ -226,6 +226,11 @@
             self.highest = max(self.highest, ViewId(highest.number, ""))
             self.requesting = None
 
+    def _is_first_view(self, live_routers: Mapping[str, int]) -> bool:
+        """Whether each router that promised is a member of the view and has granted none before."""
+        has_granted = any(promise.has_granted for promise in self.promises.values())
+        return not has_granted and self.promises.keys() <= live_routers.keys()
+
     def _propose(
         self, now: Time, view_id: ViewId, live_routers: Mapping[str, int], copies: int, has_majority: bool
     ) -> View:
@@ -239,7 +244,7 @@
             predecessor=last.id if takes_over else None,
             predecessor_members=last.members if takes_over else {},
             predecessor_copies=last.copies if takes_over else 0,
-            is_first=not any(promise.has_granted for promise in self.promises.values()),
+            is_first=self._is_first_view(live_routers),
         )
         self.proposed = view
         self.proposed_at = now
--- a/hillchute/history/views.py
+++ b/hillchute/history/views.py
@@ -37,7 +37,7 @@
     predecessor: ViewId | None = None  # the view whose records it takes over; None: all records are lost
     predecessor_members: dict[str, int] = {}
     predecessor_copies: int = 0
-    is_first: bool = False  # no router that promised has granted any view in its present incarnation
+    is_first: bool = False  # all that promised are members, and granted none in their present incarnation
 
     @property
     def id(self) -> ViewId:
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -370,10 +370,13 @@
     assert views.answer_request(now, ViewId(EPOCH // 10, "b")).given
 
 
-def proposer_after(granters: str, answers: str = "abcde") -> tuple[ViewProtocol, View | None, int]:
+def proposer_after(
+    granters: str, answers: str = "abcde", departed: str = ""
+) -> tuple[ViewProtocol, View | None, int]:
     """Returns the view protocol of one of five routers, the view that it proposes and the promises it needed.
 
-    `answers`: the routers that promise, in this order; `granters`: those that have granted an earlier view.
+    `answers`: the routers that promise, in this order; `granters`: those that have granted an earlier view;
+    `departed`: those that are no longer alive when the promises arrive.
     """
     live = dict.fromkeys("abcde", 1)
     views, now = ViewProtocol("a", 1, live, EPOCH), EPOCH + 3 * VIEW_LEASE
@@ -385,9 +388,9 @@
         if name in granters:
             granter.adopt(EPOCH * 2, old)
             granter.answer_heartbeat(now, ViewId(5, "e"), 0, 0)
-        if views.handle_promise(
-            now + SETTLE_TIME, name, granter.answer_request(now + SETTLE_TIME, views.requesting), live, 2
-        ):
+        promise = granter.answer_request(now + SETTLE_TIME, views.requesting)
+        still_live = {other: number for other, number in live.items() if other not in departed}
+        if views.handle_promise(now + SETTLE_TIME, name, promise, still_live, 2):
             return views, views.proposed, promise_count
     return views, None, len(answers)
 
@@ -407,6 +410,14 @@
     assert view.predecessor is None and view.is_first and promise_count == 5
 
 
+def test_view_is_not_the_first_if_a_router_that_promised_is_no_member():
+    """Guards against an empty history that is assumed though a router may have forgotten a view."""
+    _, view, _ = proposer_after("", answers="cab", departed="cd")
+    assert view.members.keys() == set("abe") and view.predecessor is None and not view.is_first
+    _, view, _ = proposer_after("", answers="abe", departed="cd")
+    assert view.is_first
+
+
 def test_promises_of_restarted_routers_do_not_hide_earlier_grants():
     _, view, promise_count = proposer_after("cde", "abcde")
     assert view.predecessor == ViewId(5, "e") and promise_count == 5
