Test of barriers: the engine's connection is opened anew for each handler

Trace: the router had connected to the engine before the test replaced `open`, and connects again only after an idle connection is closed, which a busy machine does not reach in that time. The engine now closes its connections at the start of each disturbance; all that is asked for stays.

--- a/tests/test_fault_barriers.py
+++ b/tests/test_fault_barriers.py
@@ -109,6 +109,8 @@
 
     async def disturb(self):
         """Makes every part of the router do something."""
+        for stream in list(self.fleet.servers[1].streams):
+            await stream.aclose()  # so that the router connects to the engine again
         self.connect_client(LOGIN[:9])  # a login that is never complete
         self.connect_client().close()
         idle = self.connect_client(LOGIN + self.new_query())
