Review case 7: a keyed load is applied twice when its repeat waits for a hung engine

What was done: a script in which a load loses its answer by a reset and its repeat waits, inside the router, for an engine that hangs for 13.2 s.

Cause as far as known: LineConnections.check_wanted does not check the window of repeats of a queued run.

--- a/review/standins-2/engine.py
+++ b/review/standins-2/engine.py
@@ -107,7 +107,9 @@
             if left > 0:
                 self.send(f"{id} EVENT why=advance,value=0.5")
         self.open.pop(id, None)
-        if random.random() < self.options.lose:  # the work is done, its answer does not come back
+        if (
+            random.random() < self.options.lose or b"lose=1" in body
+        ):  # the work is done, its answer does not come back
             self.record("answer lost", id=id, connection=self.number)
             if self.options.how == "reset":
                 self.transport.abort()
