A repeat that waits for its connection is not sent after the window of repeats

Cause: the window was applied when an attempt was decided. The repeat then waited in the queue of a connection whose engine did not read, and before it was written only its time limit and its client were looked at. The same held for a connection that opens late and for Flight SQL calls.

Change: the decision says by when an attempt must be sent (Submit.send_by); find_obstacle checks an attempt right before its first byte, on each of these ways; at send_by what still waits is withdrawn. A command written in part is kept from its engine by closing the connection.

--- a/hillchute/decision/dispatch.py
+++ b/hillchute/decision/dispatch.py
@@ -59,7 +59,8 @@
         self.retries.count_attempt(now, query)
         time_limit = self._time_limit(now, query)
         self._set_priority(query)
-        self.planned.append(Submit(query.id, engine.id, max(1, time_limit)))
+        send_by = self.retries.send_by(query)
+        self.planned.append(Submit(query.id, engine.id, max(1, time_limit), send_by))
         work = query.cost * query.group.cost_ratio
         attempt = Attempt(engine.id, now, work, max(MIN_RUNTIME, query.runtime_alone))
         self.load.attempt_started(now, query, attempt)
--- a/hillchute/decision/interface.py
+++ b/hillchute/decision/interface.py
@@ -142,11 +142,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Submit:
-    """Start an attempt: send the query to this engine, which has `time_limit` for it."""
+    """Start an attempt: send the query to this engine, which has `time_limit` for it.
+
+    After `send_by` a query that still waits for its connection must not be sent: it may already have run, and
+    the engines may have forgotten its idempotency key. None: only the time limit binds.
+    """
 
     query: QueryId
     engine: EngineId
     time_limit: Time
+    send_by: Time | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/hillchute/decision/retries.py
+++ b/hillchute/decision/retries.py
@@ -45,18 +45,23 @@
             return False
         if query.open_attempts:
             return False  # no concurrent attempts, even where allowed: they would worsen an overload
-        if query.first_run is not None and not self._may_repeat(now, query, query.first_run.sent):
+        if query.first_run is not None and query.group.settings.effect is Effect.NON_IDEMPOTENT:
+            return False
+        send_by = self.send_by(query)
+        if send_by is not None and now > send_by:
             return False
         return not query.attempts or self.has_budget(now)
 
-    def _may_repeat(self, now: Time, query: QueryState, first_sent: Time) -> bool:
-        """Returns whether a query that may already have run may run again."""
+    def send_by(self, query: QueryState) -> Time | None:
+        """Returns the last time at which the query may be sent again; None if no such limit binds.
+
+        Engines drop a repeat of an idempotent query for the deduplication window, which counts from the first
+        attempt that may have run.
+        """
         group = query.group.settings
-        if group.effect is Effect.NON_IDEMPOTENT:
-            return False
-        if group.effect is Effect.IDEMPOTENT:
-            return now + 1 < first_sent + group.deduplication_window
-        return True
+        if query.first_run is None or group.effect is not Effect.IDEMPOTENT:
+            return None
+        return query.first_run.sent + group.deduplication_window - CLOCK_ROUNDING
 
     def has_budget(self, now: Time) -> bool:
         """Returns whether the retry budget allows another retry.
--- a/hillchute/engines/events.py
+++ b/hillchute/engines/events.py
@@ -1,6 +1,7 @@
 """Events of the connections to engines, as plain values that are independent of the engines' protocol."""
 
-from enum import Enum
+from collections.abc import Callable
+from enum import Enum, StrEnum
 from typing import NamedTuple
 
 from hillchute.engines import words
@@ -34,11 +35,25 @@
     message: words.EngineMessage
 
 
+class SendObstacle(StrEnum):
+    """Why a run of which no byte was sent must not be sent any more; the values are written to the log."""
+
+    NOT_OPEN = "not_open"  # its attempt has ended, or its query is answered
+    CLIENT_LEFT = "client_left"
+    TIME_LIMIT = "time_limit"
+    REPEAT_WINDOW = "repeat_window"  # the engines may have forgotten its idempotency key
+
+
+SendCheck = Callable[[int, str], SendObstacle | None]
+"""Returns why a run must not be sent any more; called with the connection's number and the run's id."""
+
+
 class RunNotSent(NamedTuple):
-    """A run was not sent, because its client had left or its time limit had passed; `id` is the query's."""
+    """A run was not sent, since it must not start any more; `id` is the query's."""
 
     connection: int
     id: str
+    reason: SendObstacle
 
 
 class ConnectionLost(NamedTuple):
--- a/hillchute/engines/flight/links.py
+++ b/hillchute/engines/flight/links.py
@@ -126,6 +126,7 @@
         self.channel: grpc.aio.Channel | None = None
         self.run_scopes: dict[str, anyio.CancelScope] = {}  # by run id, until the run or its stream has ended
         self.streams: dict[str, Stream] = {}  # by run id
+        self.unsent_updates: set[str] = set()  # ids of updates that gRPC has not written completely
         self.is_open = False
 
     def emit(self, message: words.EngineMessage) -> None:
@@ -149,19 +150,27 @@
     silence_limit: int  # the reducer closes a connection after so long without a message
 
 
+class ConnectionCallbacks(NamedTuple):
+    """What the connections call."""
+
+    handle: Callable[[events.Event], None]  # receives their events
+    send_obstacle: events.SendCheck  # called right before a call that runs a statement
+    on_fault: FaultReport
+
+
 class FlightConnections:
-    """All connections to engines. `handle` receives their events."""
+    """All connections to engines."""
 
     def __init__(
         self,
         settings: Mapping[str, object],
         log: Log,
-        handle: Callable[[events.Event], None],
         limits: ConnectionLimits,
-        on_fault: FaultReport,
+        callbacks: ConnectionCallbacks,
     ) -> None:
         """`settings` are those under `engines` in the operator file."""
-        self.settings, self.log, self.handle, self.on_fault = settings, log, handle, on_fault
+        self.settings, self.log = settings, log
+        self.handle, self.send_obstacle, self.on_fault = callbacks
         self.connect_timeout = limits.connect_timeout
         self.liveness_interval = max(0.05, limits.silence_limit / SECOND / LIVENESS_REPORTS)  # seconds
         self.connections: dict[int, FlightConnection] = {}  # by number
@@ -294,6 +303,8 @@
                     self.tasks.start_soon(self.run_isolated, self.run, connection, command)
                 case words.CancelRun(id) | words.DiscardResult(id):
                     self.cancel(connection, id)
+                case words.WithdrawRun(id):
+                    self.withdraw(connection, id)
                 case words.SetPriority(id, priority):
                     self.tasks.start_soon(
                         self.run_isolated, self.do_action, connection, "hillchute.hurry", f"{id} {priority}"
@@ -310,6 +321,22 @@
         if scope is not None:
             scope.cancel()
 
+    def withdraw(self, connection: FlightConnection, id: str) -> None:
+        """Cancels an update that gRPC has not written completely; does nothing for any other run.
+
+        Counts as possibly run: gRPC may have finished writing just now.
+        """
+        if id in connection.unsent_updates and id in connection.run_scopes:
+            self.cancel(connection, id)
+            connection.emit(words.RunEnded(id, "severed"))
+
+    def check_sendable(self, connection: FlightConnection, run: words.StartRun) -> bool:
+        """Returns false for a run that must not be sent any more, and reports it."""
+        obstacle = self.send_obstacle(connection.number, run.id)
+        if obstacle is not None and connection.run_scopes.pop(run.id, None) is not None:
+            self.handle(events.RunNotSent(connection.number, run.id, obstacle))
+        return obstacle is None
+
     def metadata(self, run: words.StartRun | None = None) -> list[tuple[str, str]]:
         """The headers of a call."""
         headers = []
@@ -371,6 +398,8 @@
             raise arrow.InvalidFlightDataError(
                 f"expected one endpoint in the FlightInfo, got {len(info.endpoint)}"
             )
+        if not self.check_sendable(connection, run):
+            return
         ticket = info.endpoint[0].ticket.SerializeToString()
         fetch = connection.channel.unary_stream(f"{arrow.SERVICE_PATH}DoGet")
         call = fetch(ticket, timeout=timeout, metadata=self.metadata(run))
@@ -392,11 +421,17 @@
 
     async def run_update(self, connection: FlightConnection, run: words.StartRun) -> None:
         """Runs an update with DoPut; its result is the number of records changed."""
+        if not self.check_sendable(connection, run):
+            return
         update = arrow.command_descriptor(sql.CommandStatementUpdate(query=run.statement.decode()))
         message = flight.FlightData(flight_descriptor=update).SerializeToString()
         put = connection.channel.stream_stream(f"{arrow.SERVICE_PATH}DoPut")
         call = put(timeout=run.timeout_ms / 1000, metadata=self.metadata(run))
-        await call.write(message)
+        connection.unsent_updates.add(run.id)
+        try:
+            await call.write(message)
+        finally:
+            connection.unsent_updates.discard(run.id)
         await call.done_writing()
         raw = await call.read()
         if raw is grpc.aio.EOF:
--- a/hillchute/engines/line/exchange.py
+++ b/hillchute/engines/line/exchange.py
@@ -24,15 +24,20 @@
         self.pending_output = b""
 
     def encode(self, command: words.Command) -> bytes:
+        """The bytes of a command; none for one on a run that was not sent, or has ended, on this connection."""
         match command:
             case words.StartRun(id, group, timeout_ms, priority, idempotency_key, statement):
                 self.open_runs[id] = None
                 return wire.encode(wire.StartRun(id, group, timeout_ms, priority, idempotency_key, statement))
+            case words.CancelRun(id) | words.DiscardResult(id) | words.SetPriority(id) if (
+                id not in self.open_runs
+            ):
+                return b""
             case words.CancelRun(id):
-                self.open_runs.pop(id, None)
+                del self.open_runs[id]
                 return wire.encode(wire.CancelRun(id))
             case words.DiscardResult(id):
-                self.open_runs.pop(id, None)
+                del self.open_runs[id]
                 return wire.encode(wire.DiscardResult(id))
             case words.SetPriority(id, priority):
                 return wire.encode(wire.SetPriority(id, priority))
--- a/hillchute/engines/line/links.py
+++ b/hillchute/engines/line/links.py
@@ -17,7 +17,7 @@
 
 from hillchute.decision.interface import Time
 from hillchute.engines import events, words
-from hillchute.engines.events import ConnectFailure
+from hillchute.engines.events import ConnectFailure, SendObstacle
 from hillchute.engines.line import wire
 from hillchute.engines.line.exchange import LineProtocol
 from hillchute.log import Log
@@ -48,6 +48,7 @@
         "protocol",
         "queue",
         "queue_size",
+        "partly_sent_run",
         "last_served_round",
     )
 
@@ -58,6 +59,8 @@
         self.protocol = LineProtocol()
         self.queue: deque[QueuedCommand] = deque()
         self.queue_size = 0  # bytes of the statements in the queue
+        # Id of the run that the oldest unsent bytes belong to; outdated once nothing is unsent.
+        self.partly_sent_run: str | None = None
         self.last_served_round = 0  # number of the event loop round in which it was last served
 
     def enqueue(self, command: words.Command, now: Time) -> None:
@@ -114,13 +117,10 @@
         log: Log,
         handle: Callable[[events.Event], None],
         clock: Callable[[], Time],
-        client_is_waiting: Callable[[str], bool],
+        send_obstacle: events.SendCheck,
     ) -> None:
-        """`client_is_waiting` is called with the id of a run right before the run is written.
-
-        If it returns false, the run is not sent.
-        """
-        self.client_is_waiting = client_is_waiting
+        """`send_obstacle` is called right before a run is written."""
+        self.send_obstacle = send_obstacle
         self.poller, self.log, self.handle, self.clock = poller, log, handle, clock
         self.system = poller.system
         self.connections: dict[int, LineConnection] = {}  # by number
@@ -196,6 +196,12 @@
         connection = self.connections.get(number)
         if connection is None or connection.buffered_socket is None:
             return
+        for command in commands:
+            if isinstance(command, words.WithdrawRun):
+                self.withdraw(connection, command.id)
+        commands = [command for command in commands if not isinstance(command, words.WithdrawRun)]
+        if not commands or number not in self.connections:
+            return
         if connection.buffered_socket.unsent:
             now = self.clock()
             for command in commands:
@@ -212,9 +218,19 @@
                 connection, f"over {MAX_UNSENT_SIZE} bytes not read by the engine", connection.queued_ids()
             )
 
+    def withdraw(self, connection: LineConnection, id: str) -> None:
+        """Takes back a run of which not every byte was written; does nothing for any other run.
+
+        A part of a command can only be kept from its engine by closing the connection before the rest of it.
+        """
+        if connection.remove_queued(id):
+            self.handle(events.RunNotSent(connection.number, id, SendObstacle.REPEAT_WINDOW))
+        elif connection.partly_sent_run == id and connection.buffered_socket.unsent:
+            self.drop(connection, "a run was withdrawn that was sent in part", connection.queued_ids())
+
     def write(self, connection: LineConnection, commands: list[words.Command]) -> None:
         """Writes commands. Those of which the kernel accepts no byte are queued and can be withdrawn."""
-        commands = [command for command in commands if self.check_wanted(connection, command)]
+        commands = [command for command in commands if self.check_sendable(connection, command)]
         encoded = [connection.protocol.encode(command) for command in commands]
         accepted = connection.buffered_socket.write(b"".join(encoded)) if encoded else 0
         if connection.buffered_socket.broken:
@@ -229,17 +245,19 @@
             if begin >= accepted:
                 connection.buffered_socket.discard_unsent(len(data))
                 connection.enqueue(command, now)
+            elif end > accepted:
+                connection.partly_sent_run = command.id if isinstance(command, words.StartRun) else None
 
-    def check_wanted(self, connection: LineConnection, command: words.Command) -> bool:
-        """Returns false for a run whose time limit has passed or whose client has left, and reports it."""
-        if (
-            not isinstance(command, words.StartRun)
-            or command.timeout_ms > 0
-            and self.client_is_waiting(command.id)
-        ):
+    def check_sendable(self, connection: LineConnection, command: words.Command) -> bool:
+        """Returns false for a run that must not be sent any more, and reports it."""
+        if not isinstance(command, words.StartRun):
             return True
-        self.handle(events.RunNotSent(connection.number, command.id))
-        return False
+        obstacle = self.send_obstacle(connection.number, command.id)
+        if obstacle is None and command.timeout_ms <= 0:
+            obstacle = SendObstacle.TIME_LIMIT
+        if obstacle is not None:
+            self.handle(events.RunNotSent(connection.number, command.id, obstacle))
+        return obstacle is None
 
     def write_queued(self, connection: LineConnection) -> None:
         """Writes queued commands until the engine stops reading again."""
--- a/hillchute/engines/words.py
+++ b/hillchute/engines/words.py
@@ -29,6 +29,15 @@
     id: str
 
 
+class WithdrawRun(NamedTuple):
+    """Do not run the statement any more if it has not been sent completely; otherwise change nothing.
+
+    The engines may have forgotten its idempotency key. The command itself never reaches the engine.
+    """
+
+    id: str
+
+
 class SetPriority(NamedTuple):
     """Change the priority of a run."""
 
@@ -48,7 +57,7 @@
     tag: str
 
 
-Command = StartRun | CancelRun | SetPriority | DiscardResult | HealthCheckRequest
+Command = StartRun | CancelRun | WithdrawRun | SetPriority | DiscardResult | HealthCheckRequest
 
 # ---- messages from engines ------------------------------------------------------------------------
 
--- a/hillchute/router/attempts.py
+++ b/hillchute/router/attempts.py
@@ -11,18 +11,19 @@
     MILLISECOND,
     AttemptEnded,
     AttemptResult,
-    EngineId,
     QueryId,
     Scheduler,
-    Time,
+    Submit,
 )
 from hillchute.discovery import event_bus
 from hillchute.engines import words
+from hillchute.engines.events import SendObstacle
 from hillchute.router.connection_pool import ConnectionPool, Endpoint, EngineConnection
 from hillchute.router.effects import AbortStream, Effect, SendCommand, SendResult, StartStream
 from hillchute.router.query_state import Attempt, ClaimState, QueryOutcome, QueryState
 from hillchute.router.reducer_context import ReducerContext
 from hillchute.router.request_rules import RequestRules
+from hillchute.router.send_check import find_obstacle
 
 
 class QueryOwner(Protocol):
@@ -53,14 +54,17 @@
 
     # ---- decisions of the scheduler ---------------------------------------------------------
 
-    def submit(self, pool: ConnectionPool, query: QueryState, engine: EngineId, time_limit: Time) -> None:
+    def submit(self, pool: ConnectionPool, query: QueryState, decision: Submit) -> None:
         """Starts an attempt on an engine, on a connection that is open or being opened."""
         now = self.context.now
-        attempt = Attempt(query, len(query.attempts), engine, now, now + time_limit)
+        engine = decision.engine
+        deadline = now + decision.time_limit
+        attempt = Attempt(query, len(query.attempts), engine, now, deadline, decision.send_by)
         query.attempts.append(attempt)
-        self.context.call_at(
-            attempt.deadline, self.on_timeout, query.request.id, query.number, attempt.number
-        )
+        attempt_key = query.request.id, query.number, attempt.number
+        self.context.call_at(deadline, self.on_timeout, *attempt_key)
+        if attempt.send_by is not None and attempt.send_by < deadline:
+            self.context.call_at(attempt.send_by, self.on_send_limit, *attempt_key)
         connection = pool.connection_for(pool.endpoints[engine], query)
         if connection is None:  # this router has no free connection; the engine is not at fault
             self.end(attempt, AttemptResult.NOT_SENT)
@@ -71,11 +75,12 @@
             connection.waiting.append(attempt)
 
     def send(self, attempt: Attempt, connection: EngineConnection, endpoint: Endpoint | None) -> None:
-        """Sends an attempt, unless the query, the engine or the time limit rules it out by now."""
+        """Sends an attempt, unless the query, the engine or a time limit rules it out by now."""
         query = attempt.query
         now = self.context.now
-        if query.answered or endpoint is None or not endpoint.ready or now >= attempt.deadline:
-            self.end(attempt, AttemptResult.NOT_SENT)
+        obstacle = find_obstacle(attempt, now)
+        if endpoint is None or not endpoint.ready or obstacle is not None:
+            self._withhold(attempt, obstacle)
             return
         request = query.request
         attempt.connection = connection
@@ -89,6 +94,13 @@
         )
         self.context.emit(SendCommand(connection.number, run))
 
+    def _withhold(self, attempt: Attempt, reason: SendObstacle | None) -> None:
+        """Ends an attempt of which nothing was sent."""
+        if reason is not None:
+            name = event_bus.engine_name(attempt.engine)
+            self.context.log("attempt_withheld", query=attempt.query.request.id, engine=name, reason=reason)
+        self.end(attempt, AttemptResult.NOT_SENT)
+
     def cancel(self, attempt: Attempt) -> None:
         """Cancels an attempt."""
         self.end(attempt, AttemptResult.CANCELLED, cancel_run=True)
@@ -116,11 +128,22 @@
         else:
             self.end(attempt, AttemptResult.NOT_SENT)
 
-    def on_not_sent(self, connection: EngineConnection, query_id: QueryId) -> None:
-        """Ends an attempt whose command was not written because its client had left or its time was up."""
+    def on_send_limit(self, query_id: QueryId, query_number: int, number: int) -> None:
+        """Withdraws an attempt that may not be sent any more, if it still waits for its connection."""
+        query = self.owner.find_query(query_id, query_number)
+        if query is None or query.attempts[number].ended:
+            return
+        attempt = query.attempts[number]
+        if attempt.connection is None or not attempt.sent:
+            self._withhold(attempt, SendObstacle.REPEAT_WINDOW)
+        elif attempt.completion is None:
+            self.context.emit(SendCommand(attempt.connection.number, words.WithdrawRun(query_id)))
+
+    def on_not_sent(self, connection: EngineConnection, query_id: QueryId, reason: SendObstacle) -> None:
+        """Ends an attempt whose command was not written."""
         attempt = connection.attempts.get(query_id)
         if attempt is not None:
-            self.end(attempt, AttemptResult.NOT_SENT)
+            self._withhold(attempt, reason)
 
     def end_unneeded(self, query: QueryState) -> None:
         """Ends attempts whose result is no longer needed once the query is answered; others may run on."""
--- a/hillchute/router/query_state.py
+++ b/hillchute/router/query_state.py
@@ -47,6 +47,7 @@
     engine: EngineId
     started_at: Time
     deadline: Time
+    send_by: Time | None = None  # not sent any more after this time; None: only the deadline limits it
     connection: EngineConnection | None = None
     sent: bool = False  # the command was passed to the connection
     ended: bool = False
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -24,7 +24,14 @@
     WatchEndpoints,
 )
 from hillchute.engines import words
-from hillchute.engines.events import Connected, ConnectFailed, ConnectionLost, MessageReceived, RunNotSent
+from hillchute.engines.events import (
+    Connected,
+    ConnectFailed,
+    ConnectionLost,
+    MessageReceived,
+    RunNotSent,
+    SendObstacle,
+)
 from hillchute.fronts.events import ClientGone, QueryReceived, StreamDelivered, StreamUnreadable
 from hillchute.router.answer_log import AnswerLog, outcome_text
 from hillchute.router.attempts import Attempts
@@ -43,6 +50,7 @@
 from hillchute.router.query_state import Attempt, ClaimState, QueryOutcome, QueryState
 from hillchute.router.reducer_context import ReducerContext
 from hillchute.router.request_rules import MAX_SHOWN_CHARACTERS, RequestRules
+from hillchute.router.send_check import find_obstacle
 from hillchute.settings import Settings
 from hillchute.statements.request import Request
 
@@ -123,10 +131,10 @@
                 self.pool.on_connected(number)
             case ConnectFailed(number, failure):
                 self.pool.on_not_connected(number, failure)
-            case RunNotSent(number, query):
+            case RunNotSent(number, query, reason):
                 connection = self.pool.connections.get(number)
                 if connection is not None:
-                    self.attempts.on_not_sent(connection, query)
+                    self.attempts.on_not_sent(connection, query, reason)
             case ConnectionLost(number, reason, never_sent):
                 self.pool.on_lost(number, reason, never_sent)
             case EndpointsChanged(update):
@@ -145,8 +153,8 @@
     def carry_out(self, decision: Decision) -> None:
         """Carries out one decision."""
         match decision:
-            case Submit(query_id, engine, time_limit):
-                self.attempts.submit(self.pool, self.queries[query_id], engine, time_limit)
+            case Submit(query_id):
+                self.attempts.submit(self.pool, self.queries[query_id], decision)
             case SetExecutionOptions(query_id, _, priority):
                 self.attempts.set_priority(self.queries[query_id], priority)
             case Reject(query_id, retry_after, reason):
@@ -271,6 +279,12 @@
         query = self.queries.get(query_id)
         return None if query is None or query.answered else query.session
 
+    def send_obstacle(self, connection_number: int, query_id: QueryId, now: Time) -> SendObstacle | None:
+        """Returns why a run that was passed to a connection, but not written, must not be sent any more."""
+        connection = self.pool.connections.get(connection_number)
+        attempt = None if connection is None else connection.attempts.get(query_id)
+        return SendObstacle.NOT_OPEN if attempt is None else find_obstacle(attempt, now)
+
     def on_client_left(self, session: int) -> None:
         """Handles a client that cancelled its query or disconnected."""
         query = self.unanswered.get(session)
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -15,6 +15,7 @@
 from hillchute.decision.interface import QueryId
 from hillchute.decision.scheduler import QueryScheduler
 from hillchute.discovery.watcher import EndpointWatcher
+from hillchute.engines.events import SendObstacle
 from hillchute.engines.line.links import LineConnections
 from hillchute.fronts.events import FIRST_FLIGHT_SESSION, ClientGone, StreamDelivered, StreamUnreadable
 from hillchute.fronts.mysql.door import MysqlFrontend
@@ -136,12 +137,13 @@
 
     def _build_links(self, settings: OperatorSettings) -> EngineLinks:
         if settings.get("protocol") != "flight":
-            return LineConnections(self.poller, self.log, self.handle, self.clock, self.client_is_waiting)
-        from hillchute.engines.flight.links import ConnectionLimits, FlightConnections
+            return LineConnections(self.poller, self.log, self.handle, self.clock, self.send_obstacle)
+        from hillchute.engines.flight.links import ConnectionCallbacks, ConnectionLimits, FlightConnections
 
         pool = self.reducer.pool
         limits = ConnectionLimits(pool.connect_timeout, pool.silence_limit)
-        return FlightConnections(settings, self.log, self.handle, limits, self.faults.write)
+        callbacks = ConnectionCallbacks(self.handle, self.send_obstacle, self.faults.write)
+        return FlightConnections(settings, self.log, limits, callbacks)
 
     def _build_flight_frontend(self, settings: OperatorSettings | None) -> FlightFrontend | None:
         if not settings:
@@ -250,13 +252,14 @@
         """Handles a stream that can't be read while it is passed on to a client."""
         self.handle(StreamUnreadable(session, reason))
 
-    def client_is_waiting(self, query_id: QueryId) -> bool:
-        """Whether the client of a query waits for its answer, as of a recent poll."""
+    def send_obstacle(self, connection: int, query_id: QueryId) -> SendObstacle | None:
+        """Returns why a run must not be sent any more, by what a recent poll has shown; None if it may be."""
         self.event_loop.drop_disconnected_clients()
         session = self.reducer.waiting_session(query_id)
-        if session is None:
-            return False
-        return session >= FIRST_FLIGHT_SESSION or session in self.mysql_frontend.clients
+        is_mysql = session is not None and session < FIRST_FLIGHT_SESSION
+        if session is None or (is_mysql and session not in self.mysql_frontend.clients):
+            return SendObstacle.CLIENT_LEFT
+        return self.reducer.send_obstacle(connection, query_id, self.clock())
 
     def endpoint_list_offset(self) -> int:
         """Returns the offset of the last watch event that was applied."""
--- a/tests/test_fault_barriers.py
+++ b/tests/test_fault_barriers.py
@@ -303,7 +303,10 @@
     async def run():
         async with anyio.create_task_group() as tasks:
             connections = links.FlightConnections(
-                {}, Log("n", -1), handled.append, links.ConnectionLimits(1, 1), lambda *f: faults.append(f)
+                {},
+                Log("n", -1),
+                links.ConnectionLimits(1, 1),
+                links.ConnectionCallbacks(handled.append, lambda *_: None, lambda *f: faults.append(f)),
             )
 
             def create_channel(address):
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -286,9 +286,12 @@
     connections = links.FlightConnections(
         {},
         Log("n", -1),
-        None,
         links.ConnectionLimits(1, 1),
-        lambda source, error: faults.append((source, repr(error))),
+        links.ConnectionCallbacks(
+            handle=None,
+            send_obstacle=None,
+            on_fault=lambda source, error: faults.append((source, repr(error))),
+        ),
     )
 
     async def cancelled():
@@ -319,7 +322,10 @@
 
     async def run_on_a_connection():
         connections = links.FlightConnections(
-            {}, log, handled.append, links.ConnectionLimits(1, 1), lambda *fault: faults.append(fault)
+            {},
+            log,
+            links.ConnectionLimits(1, 1),
+            links.ConnectionCallbacks(handled.append, lambda *_: None, lambda *fault: faults.append(fault)),
         )
         connections.run_query = run_query
         connection = links.FlightConnection(connections, 7)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -218,7 +218,7 @@
 def test_runs_of_a_batch_that_the_kernel_has_not_accepted_can_be_withdrawn(rig: RouterHarness) -> None:
     (connection,) = rig.service.links.connections.values()
     runs = [words.StartRun(f"{n:016x}", "lookup", 900, None, None, SELECT.encode()) for n in (6, 7, 8)]
-    rig.service.links.client_is_waiting = lambda id: True
+    rig.service.links.send_obstacle = lambda connection, id: None
     rig.system.fault = Fault("send", max_bytes=5, first=rig.system.calls["send"] + 1)
     rig.service.links.write(connection, runs)
     assert [item.command for item in connection.queue] == runs[1:]
@@ -286,7 +286,7 @@
     with socket.create_server(("127.0.0.1", 0)) as engine:
         poller = Poller()
         handled: list[events.Event] = []
-        links = LineConnections(poller, Log("n", -1), handled.append, lambda: 0, lambda _: True)
+        links = LineConnections(poller, Log("n", -1), handled.append, lambda: 0, lambda *_: None)
         links.open(1, *engine.getsockname(), tasks=None)
         connection = links.connections[1]
         assert connection.buffered_socket is None
