Each session has a bounded share of a round, and overdue queries hold up no others

Cause: a session executed all commands of a read (some 3,000) in one turn, with a system call each; overdue queries went before all others, without end; queries written ahead kept the place of their arrival; the reducer's timer took an overdue query for a fault before the scheduler rejected it.

Change: eight commands' work a session and round, answers written together, the rest when the poller reports the socket writable; overdue queries alternate with the others; only keyed queries keep the order of arrival.

--- a/hillchute/engines/line/exchange.py
+++ b/hillchute/engines/line/exchange.py
@@ -24,7 +24,7 @@
         self.pending_output = b""
 
     def encode(self, command: words.Command) -> bytes:
-        """The bytes of a command; none for one on a run that was not sent, or has ended, on this connection."""
+        """The bytes of a command; none for one on a run that was not sent here or has ended."""
         match command:
             case words.StartRun(id, group, timeout_ms, priority, idempotency_key, statement):
                 self.open_runs[id] = None
--- a/hillchute/fronts/mysql/door.py
+++ b/hillchute/fronts/mysql/door.py
@@ -26,6 +26,10 @@
 
 READ_BYTES = 16_384  # bytes of one read; small, because there are many clients
 MAX_READS_AFTER_CLOSE = 8  # limit on reads of what a client wrote before it closed
+# The work that a session gets in one round of the event loop, in commands; the rest waits for the next round.
+WORK_PER_ROUND = 8
+WORK_AFTER_CLOSE = 256  # of a client that has closed: its last commands may include KILL QUERY
+QUERY_WORK = 8  # of one query: parsing it costs as much as so many other commands
 RECEIVE_TIME_ERROR = 50  # 5 ms: error of the kernel's receive times
 ROWS_PER_WRITE = 256  # rows of a stream written at once, before waiting until the kernel has taken them
 SESSION_NUMBERS = 1 << 32  # session numbers are 32 bits wide in the protocol's greeting
@@ -34,6 +38,7 @@
 class QueryQueue(Protocol):
     """The queue of received queries; implemented in round_schedule.py."""
 
+    number: int  # of the round of the event loop
     last_client_activity: Time
 
     def enqueue(
@@ -55,6 +60,8 @@
         "awaits_first_query",
         "stream",
         "output_sent",
+        "work_round",
+        "work_left",
     )
 
     def __init__(self, number: int, max_packet_bytes: int) -> None:
@@ -68,9 +75,23 @@
         self.awaits_first_query = True  # no query has been received yet
         self.stream: words.Stream | None = None  # the result being delivered
         self.output_sent: anyio.Event | None = None  # set when the kernel has taken all output
+        self.work_round = 0  # number of the round that `work_left` is for
+        self.work_left = 0
 
     def has_unread(self) -> bool:
-        return self.buffered_socket.has_unread()
+        """Whether the client has sent something that was not handled yet."""
+        return self.session.has_command or self.buffered_socket.has_unread()
+
+    @property
+    def awaits_work(self) -> bool:
+        """Whether a command waits for the next round, or output for the client to read."""
+        return self.session.has_command or bool(self.buffered_socket.unsent)
+
+    def begin_work(self, round_number: int, work: int = WORK_PER_ROUND) -> None:
+        """Grants the work of a round, once in each round."""
+        if self.work_round != round_number:
+            self.work_round = round_number
+            self.work_left = work
 
     async def wait_until_sent(self) -> None:
         """Waits until the kernel has taken all output, or the connection is closed."""
@@ -253,6 +274,7 @@
         after their client has left (rule 1; lab/rules.py checks the rules). If the session has no query open,
         its input is still read: it may be KILL QUERY for another session.
         """
+        client.work_round, client.work_left = self.rounds.number, WORK_AFTER_CLOSE
         for _ in range(MAX_READS_AFTER_CLOSE):
             if (
                 client.buffered_socket.closed
@@ -279,41 +301,63 @@
         self.run_commands(client)
 
     def run_commands(self, client: Client) -> None:
-        """Executes queued commands until one must wait for its answer or for the client to read."""
+        """Executes queued commands until one must wait for its answer or for the client to read.
+
+        A session gets WORK_PER_ROUND in each round, so that one that sends without pause delays no other.
+        """
         session = client.session
-        while not client.buffered_socket.unsent:  # the next command waits until the previous answer is sent
-            command, out = session.command()
+        output = bytearray()
+        has_progressed = False
+        client.begin_work(self.rounds.number)
+        while session.has_command and not client.buffered_socket.unsent:  # the next waits for the answer
+            if client.work_left <= 0:
+                # The poller reports the socket in the next round, or once the client has read its answers.
+                self.poller.watch_writing(client.buffered_socket.sock, True)
+                break
+            has_progressed = True
+            taken_before = session.taken_count
+            command, out = session.command(client.work_left)
+            client.work_left -= session.taken_count - taken_before
             if session.logged_in and not client.logged_in_at:
                 client.logged_in_at = self.clock()
-            if out:
-                client.buffered_socket.write(out)
-            match command:
-                case None:
-                    break
-                case packets.Query():
-                    self.enqueue_query(client, command)
-                case packets.KillQuery(number):
-                    known = number in self.clients
-                    if known:
-                        self.on_client_gone(number)
-                    unknown = packets.NO_SUCH_THREAD, "no such session"
-                    client.buffered_socket.write(session.ok() if known else session.error_answer(*unknown))
-                case packets.Ping():
-                    client.buffered_socket.write(session.ok())
+            output += out
+            if command is not None:
+                output += self.execute(client, command)
+        if output:
+            client.buffered_socket.write(bytes(output))
+        if has_progressed:
+            self.session_limiter.remove(client.number)  # what is incomplete now has begun after this command
         self.update_state(client)
 
-    def enqueue_query(self, client: Client, query: packets.Query) -> None:
+    def execute(self, client: Client, command: packets.Command) -> bytes:
+        """Executes a command; returns its answer, which is empty for a query."""
+        session = client.session
+        match command:
+            case packets.Query():
+                client.work_left -= QUERY_WORK
+                return self.enqueue_query(client, command)
+            case packets.KillQuery(number):
+                if number not in self.clients:
+                    return session.error_answer(packets.NO_SUCH_THREAD, "no such session")
+                self.on_client_gone(number)
+                return session.ok()
+            case packets.Ping():
+                return session.ok()
+        return b""
+
+    def enqueue_query(self, client: Client, query: packets.Query) -> bytes:
+        """Queues a query; returns the error to answer if its statement is invalid."""
         try:
             request = statements.parse_statement(query.text)
         except statements.InvalidStatementError as error:
             self.log.write("invalid_query", session=client.number, reason=str(error))
-            client.buffered_socket.write(client.session.error_answer(packets.BAD_STATEMENT, str(error)))
-            return
+            return client.session.error_answer(packets.BAD_STATEMENT, str(error))
         sent_at = self.earliest_send_time(client, query.received_at)
         answer_by = sent_at + request.client_timeout - self.answer_margin(request.client_timeout)
         self.rounds.enqueue(
             client.number, request, sent_at, max(query.received_at, client.last_answered_at), answer_by
         )
+        return b""
 
     def earliest_send_time(self, client: Client, received_at: int) -> int:
         """The earliest time at which a query may have been sent, given when its last byte was received.
@@ -338,7 +382,7 @@
             client.buffered_socket.shutdown_write()
         if session.busy and not session.closing:
             self.session_limiter.mark_busy(number)
-        elif session.closing or not session.logged_in or session.buffer or client.buffered_socket.unsent:
+        elif session.closing or not session.logged_in or session.buffer or client.awaits_work:
             self.session_limiter.mark_in_step(number, self.clock())
         else:
             self.session_limiter.mark_idle(number)
--- a/hillchute/fronts/mysql/packets.py
+++ b/hillchute/fronts/mysql/packets.py
@@ -12,6 +12,7 @@
 SERVER_VERSION = b"8.0.36-hillchute"
 USER, DATABASE = b"app", b"lake"
 HEADER_BYTES = 4  # bytes of a packet's header: its size and its sequence number
+UNLIMITED_PACKETS = 1 << 32
 MAX_QUEUED_COMMANDS = 32  # commands queued behind the open one; further ones stay in the kernel's buffer
 
 # Capability flags: long password, found rows, long flag, connect with a database, protocol 4.1, transactions,
@@ -112,6 +113,7 @@
         self.logged_in = False
         self.busy = False  # a command is open; the next one waits for its answer
         self.closing = False  # no more input is taken; the connection closes once all output is sent
+        self.taken_count = 0  # packets that command() has taken from the queue
 
     def to_packets(self, payloads: Iterable[bytes]) -> bytes:
         out = bytearray()
@@ -180,10 +182,20 @@
         self.buffer.clear()
         return self.to_packets([error(kind, message)])
 
-    def command(self) -> tuple[Command | None, bytes]:
-        """The next command, or None while another is open, and output to write before executing it."""
+    @property
+    def has_command(self) -> bool:
+        """Whether command() would take a packet."""
+        return bool(self.queue) and not self.busy and not self.closing
+
+    def command(self, max_packets: int = UNLIMITED_PACKETS) -> tuple[Command | None, bytes]:
+        """The next command, or None while another is open, and output to write before executing it.
+
+        Takes no more than `max_packets` packets, some of which are answered here and are no command.
+        """
         out = b""
-        while self.queue and not self.busy and not self.closing:
+        end = self.taken_count + max_packets
+        while self.has_command and self.taken_count < end:
+            self.taken_count += 1
             number, payload, received_at = self.queue.popleft()
             self.queued_bytes -= len(payload)
             self.take_packets()
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -251,6 +251,8 @@
         self.queries[request.id] = query
         self.unanswered[session] = query
         last_moment = max(deadline, received_at + client_timeout - LAST_ANSWER_MARGIN)
+        # On a query that its client wrote ahead and that is overdue already, the scheduler decides first.
+        last_moment = max(last_moment, self.context.now + 1)
         self.context.call_at(last_moment, self.on_timeout, request.id, query.number)
         return query
 
--- a/hillchute/router/round_schedule.py
+++ b/hillchute/router/round_schedule.py
@@ -10,7 +10,9 @@
 in tenths of a millisecond.
 """
 
-from collections.abc import Iterable, Iterator
+from collections import deque
+from collections.abc import Generator, Iterable, Iterator
+from contextlib import closing
 from dataclasses import dataclass
 from heapq import heappop, heappush
 from typing import NamedTuple, Protocol, TypeVar
@@ -62,7 +64,7 @@
 
     def __init__(self) -> None:
         self.number = 0
-        self.arrivals: list[QueueEntry] = []  # heap by time of arrival
+        self.arrivals: list[QueueEntry] = []  # heap by time of arrival, see enqueue()
         self.timeouts: list[QueueEntry] = []  # the same queries, as a heap by the time their answer is due
         self.pending: dict[int, PendingQuery] = {}  # by session
         self.enqueued_count = 0
@@ -113,7 +115,10 @@
         self.enqueued_count += 1
         if request.ordering_key is not None:
             answer_by += ORDERED_TIMEOUT_GRACE
-        heappush(self.arrivals, QueueEntry(received_at, self.enqueued_count, query))
+        # Only queries with an ordering key must keep the order of arrival. Others that a client wrote ahead
+        # of its answers count from when they could be taken, or they would go before all other clients'.
+        order = ready_at if request.ordering_key is None else received_at
+        heappush(self.arrivals, QueueEntry(order, self.enqueued_count, query))
         heappush(self.timeouts, QueueEntry(answer_by, self.enqueued_count, query))
 
     def discard(self, session: int) -> bool:
@@ -127,19 +132,26 @@
     def take_queries(self, now: Time) -> Iterator[PendingQuery]:
         """Takes due queries until the caller stops.
 
-        Queries that have timed out come first, since they only need an answer; the others follow in order of
-        arrival.
+        Queries that have timed out only need an answer, so each comes ahead of its turn. They alternate with
+        the others, which follow in order of arrival: a client that sends without pause may have a timed-out
+        query ready at any time.
         """
-        yield from self._take_timed_out(now)
-        yield from self._take_in_order()
-
-    def _take_timed_out(self, now: Time) -> Iterator[PendingQuery]:
+        with closing(self._take_timed_out(now)) as timed_out, closing(self._take_in_order()) as in_order:
+            sources = deque((timed_out, in_order))
+            while sources:
+                source = sources.popleft()
+                query = next(source, None)
+                if query is not None:
+                    yield query
+                    sources.append(source)
+
+    def _take_timed_out(self, now: Time) -> Generator[PendingQuery, None, None]:
         while self.timeouts and (self.timeouts[0].time <= now or self.timeouts[0].query.done):
             query = heappop(self.timeouts).query
             if not query.done:
                 yield self._take(query)
 
-    def _take_in_order(self) -> Iterator[PendingQuery]:
+    def _take_in_order(self) -> Generator[PendingQuery, None, None]:
         """Takes queries in order of arrival, those with an ordering key once all older input has been read.
 
         Older input is what arrived more than ORDER_SPACING earlier, including on connections not accepted
