What a router holds for names and ended queries is bounded

Cause: an entry for each table group that a client ever named (Placement.affinity), an empty queue for each one whose bulk loads had waited, and reviews and timers of queries that had ended, each kept up to the longest client timeout.

Change: the last 8,192 table groups keep their engine, empty queues are forgotten, and reviews and timers of ended queries are dropped whenever their number has doubled.

--- a/hillchute/decision/dispatch.py
+++ b/hillchute/decision/dispatch.py
@@ -69,7 +69,7 @@
         engine.attempt_started(now, query.threads, query.memory_mb)
         if group.is_bulk_load:
             engine.running_bulk_loads.append(query.table_group)
-        self.placement.affinity[query.table_group] = engine.id
+        self.placement.remember_engine(query, engine)
 
     def _time_limit(self, now: Time, query: QueryState) -> Time:
         """Returns the time that the engine has for an attempt.
--- a/hillchute/decision/placement.py
+++ b/hillchute/decision/placement.py
@@ -6,6 +6,7 @@
 """
 
 from bisect import bisect
+from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 from itertools import accumulate
 
@@ -20,6 +21,9 @@
 # Threads per core that are added to each load, so that an apparently idle engine is not chosen by all routers
 # at once.
 BASE_LOAD = 0.4
+# Table groups whose last engine is remembered. Engines keep only a few each in memory, and clients may name
+# ever new ones.
+MAX_AFFINITIES = 8_192
 LOAD_EXPONENT = 4  # an engine with twice the load is chosen a sixteenth as often
 
 
@@ -40,7 +44,8 @@
         self.retries = retries
         self.slow_start = slow_start
         self.random_fraction = random_fraction
-        self.affinity: dict[int | None, EngineId] = {}  # the engine that last ran each table group
+        # The engine that last ran each table group; the one that has run least recently is first.
+        self.affinity: OrderedDict[int | None, EngineId] = OrderedDict()
 
     # ---- eligibility ------------------------------------------------------------------------------
 
@@ -197,6 +202,13 @@
             engines.append(affine)
         return engines
 
+    def remember_engine(self, query: QueryState, engine: EngineState) -> None:
+        """Records the engine that runs a table group; forgets the least recent one beyond the limit."""
+        self.affinity[query.table_group] = engine.id
+        self.affinity.move_to_end(query.table_group)
+        if len(self.affinity) > MAX_AFFINITIES:
+            self.affinity.popitem(last=False)
+
     def affine_engine(self, query: QueryState) -> EngineState | None:
         """Returns the engine that last ran the query's table group, if it is still known."""
         engine = self.affinity.get(query.table_group)
--- a/hillchute/decision/query_queues.py
+++ b/hillchute/decision/query_queues.py
@@ -1,7 +1,7 @@
 """The queues in which queries wait, and the times at which each query is to be reviewed."""
 
 from collections import defaultdict, deque
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 
 from hillchute.decision.draws import DrawSequence
 from hillchute.decision.interface import QueryId, Time
@@ -10,6 +10,8 @@
 from hillchute.decision.slow_start import SlowStart
 from hillchute.settings import Settings
 
+MIN_REVIEWS_TO_COMPACT = 2_048
+
 
 def dashboard_groups(settings: Settings) -> frozenset[int]:
     """Returns the resource groups with the shortest latency objective, bulk loads excluded."""
@@ -36,6 +38,7 @@
         self.keys: defaultdict[str, OrderedKey] = defaultdict(OrderedKey)
         self.changed_keys: dict[str, bool] = {}  # keys whose next query may have changed, in order
         self.reviews: list[tuple[Time, int, QueryId]] = []  # heap; the second value orders equal times
+        self.reviews_to_compact = MIN_REVIEWS_TO_COMPACT  # number of reviews at which they are compacted next
 
     @property
     def has_waiting_queries(self) -> bool:
@@ -45,6 +48,14 @@
     def review_at(self, query: QueryState, time: Time) -> None:
         """Schedules a review of the query."""
         heappush(self.reviews, (time, self.draws.next_number(), query.id))
+        if len(self.reviews) >= self.reviews_to_compact:
+            self._compact_reviews()
+
+    def _compact_reviews(self) -> None:
+        """Drops the reviews of queries that have ended; queries may end far faster than reviews are due."""
+        self.reviews[:] = [review for review in self.reviews if review[2] in self.queries]
+        heapify(self.reviews)
+        self.reviews_to_compact = max(MIN_REVIEWS_TO_COMPACT, 2 * len(self.reviews))
 
     def next_review(self) -> QueryState | None:
         """Removes the next review and returns its query; None if that no longer needs a review."""
@@ -88,8 +99,15 @@
 
     def bulk_load_ended(self, now: Time, bulk_load: QueryState) -> None:
         """Moves the next blocked bulk load of the table group, if any, to the front of the team queue."""
-        if self.blocked_bulk_loads.get(bulk_load.table_group):
-            self.enqueue(now, self.blocked_bulk_loads[bulk_load.table_group].popleft(), front=True)
+        blocked = self.blocked_bulk_loads.get(bulk_load.table_group)
+        if blocked:
+            self.enqueue(now, blocked.popleft(), front=True)
+            self._forget_if_empty(bulk_load.table_group)
+
+    def _forget_if_empty(self, table_group: int | None) -> None:
+        """Forgets that bulk loads of a table group were blocked; clients may name ever new table groups."""
+        if not self.blocked_bulk_loads.get(table_group):
+            self.blocked_bulk_loads.pop(table_group, None)
 
     def release_ordered(self, now: Time) -> None:
         """Enqueues the next query of each key whose earlier queries have ended and whose pause is over."""
@@ -105,6 +123,8 @@
         """Marks the query as answered; it is kept while an attempt is open, since its key waits for that."""
         if query.stage in WAITING and query.queue is not None:
             query.queue.remove(query)
+            if query.stage is QueryStage.BLOCKED_BULK_LOAD:
+                self._forget_if_empty(query.table_group)
         query.stage = QueryStage.ANSWERED
         if not query.open_attempts:
             self.queries.pop(query.id, None)
--- a/hillchute/router/attempts.py
+++ b/hillchute/router/attempts.py
@@ -62,9 +62,9 @@
         attempt = Attempt(query, len(query.attempts), engine, now, deadline, decision.send_by)
         query.attempts.append(attempt)
         attempt_key = query.request.id, query.number, attempt.number
-        self.context.call_at(deadline, self.on_timeout, *attempt_key)
+        self.context.call_for_query_at(deadline, query.number, self.on_timeout, *attempt_key)
         if attempt.send_by is not None and attempt.send_by < deadline:
-            self.context.call_at(attempt.send_by, self.on_send_limit, *attempt_key)
+            self.context.call_for_query_at(attempt.send_by, query.number, self.on_send_limit, *attempt_key)
         connection = pool.connection_for(pool.endpoints[engine], query)
         if connection is None:  # this router has no free connection; the engine is not at fault
             self.end(attempt, AttemptResult.NOT_SENT)
@@ -266,7 +266,9 @@
             self.end(attempt, AttemptResult.TIMED_OUT, cancel_run=True)
             return
         self.scheduler.on_stream_started(self.context.now, query.request.id)
-        self.context.call_at(query.deadline, self.on_stream_timeout, query.request.id, query.number)
+        self.context.call_for_query_at(
+            query.deadline, query.number, self.on_stream_timeout, query.request.id, query.number
+        )
         self.context.emit(StartStream(query.session, stream))
 
     def on_stream_timeout(self, query_id: QueryId, query_number: int) -> None:
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -249,11 +249,12 @@
             deadline = min(deadline, self.shutdown_deadline)
         query = QueryState(request, session, received_at, deadline, self.context.next_number())
         self.queries[request.id] = query
+        self.context.open_queries.add(query.number)
         self.unanswered[session] = query
         last_moment = max(deadline, received_at + client_timeout - LAST_ANSWER_MARGIN)
         # On a query that its client wrote ahead and that is overdue already, the scheduler decides first.
         last_moment = max(last_moment, self.context.now + 1)
-        self.context.call_at(last_moment, self.on_timeout, request.id, query.number)
+        self.context.call_for_query_at(last_moment, query.number, self.on_timeout, request.id, query.number)
         return query
 
     def schedule(self, query: QueryState) -> None:
@@ -317,8 +318,10 @@
             query.deadline = min(query.deadline, answer_by)
             query_id, number = query.request.id, query.number
             last_moment = query.deadline + 2 * LAST_ANSWER_MARGIN
-            self.context.call_at(last_moment, self.on_timeout, query_id, number)
-            self.context.call_at(query.deadline, self.attempts.on_stream_timeout, query_id, number)
+            self.context.call_for_query_at(last_moment, number, self.on_timeout, query_id, number)
+            self.context.call_for_query_at(
+                query.deadline, number, self.attempts.on_stream_timeout, query_id, number
+            )
 
     # ---- answers ----------------------------------------------------------------------------------
 
@@ -369,5 +372,6 @@
         """Removes a query once it is answered and all its attempts have ended."""
         if query.answered and all(attempt.ended for attempt in query.attempts):
             self.queries.pop(query.request.id, None)
+            self.context.open_queries.discard(query.number)
             self.claims.end(query)
             query.attempts.clear()  # a reference cycle would keep results until the next garbage collection
--- a/hillchute/router/reducer_context.py
+++ b/hillchute/router/reducer_context.py
@@ -6,13 +6,14 @@
 
 import traceback
 from collections.abc import Callable
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from typing import Any, NamedTuple
 
 from hillchute.decision.interface import Time
 from hillchute.router.effects import Effect, SetAlarm, WriteLog
 
 TRACEBACK_FRAMES = -8  # the innermost frames, which show where the fault is
+MIN_TIMERS_TO_COMPACT = 2_048
 
 
 class Timer(NamedTuple):
@@ -22,12 +23,14 @@
     number: int
     callback: Callable[..., None]
     arguments: tuple[Any, ...]
+    query_number: int = 0  # of the query that the timer is for; 0: for none
 
 
 class ReducerContext:
     """The time and effects of the current event, and all timers.
 
-    Timer arguments identify queries instead of referring to them, since a query may end long before.
+    Timer arguments identify queries instead of referring to them, since a query may end long before. The
+    timers of queries that have ended are dropped whenever the number of timers has doubled.
     """
 
     def __init__(self, alarm_resolution: Time) -> None:
@@ -37,6 +40,8 @@
         self.scheduler_notified = False  # whether the scheduler was given anything new by this event
         self.last_number = 0
         self.timers: list[Timer] = []  # heap by due time
+        self.timers_to_compact = MIN_TIMERS_TO_COMPACT  # number of timers at which they are compacted next
+        self.open_queries: set[int] = set()  # numbers of the queries that have not ended
         self.alarm: Time | None = None
 
     def begin_event(self, now: Time, scheduler_notified: bool) -> None:
@@ -66,6 +71,24 @@
         """Sets a timer, which calls back with the first event at `time` or later."""
         heappush(self.timers, Timer(time, self.next_number(), callback, arguments))
 
+    def call_for_query_at(
+        self, time: Time, query_number: int, callback: Callable[..., None], *arguments: object
+    ) -> None:
+        """Sets a timer that is not needed once the query with this number has ended."""
+        heappush(self.timers, Timer(time, self.next_number(), callback, arguments, query_number))
+        if len(self.timers) >= self.timers_to_compact:
+            self._compact_timers()
+
+    def _compact_timers(self) -> None:
+        """Drops the timers of queries that have ended; queries may end far faster than timers are due."""
+        self.timers = [
+            timer
+            for timer in self.timers
+            if not timer.query_number or timer.query_number in self.open_queries
+        ]
+        heapify(self.timers)
+        self.timers_to_compact = max(MIN_TIMERS_TO_COMPACT, 2 * len(self.timers))
+
     def run_due_timers(self) -> None:
         """Runs all due timers, including those that these calls set."""
         while self.timers and self.timers[0].due <= self.now:
