No query is queued while more than a session may hold lies unread behind it

Cause: what a session may not hold yet stays in the kernel; once that buffer is full, the end of the connection waits in the client's kernel, and no poll reports it.

Change: before a query is queued behind which more was written, the rest is read, up to the bytes that a session may hold; if more is left, the query is refused (1040), so the input is read to its end and nothing is begun for a client that may have left. Times of arrival stay, or get earlier.

--- a/hillchute/fronts/mysql/door.py
+++ b/hillchute/fronts/mysql/door.py
@@ -35,6 +35,9 @@
 SESSION_NUMBERS = 1 << 32  # session numbers are 32 bits wide in the protocol's greeting
 
 
+WRITTEN_AHEAD = "not run, too much was written ahead of its answers; trying again is harmless"
+
+
 class QueryQueue(Protocol):
     """The queue of received queries; implemented in round_schedule.py."""
 
@@ -330,12 +333,15 @@
         self.update_state(client)
 
     def execute(self, client: Client, command: packets.Command) -> bytes:
-        """Executes a command; returns its answer, which is empty for a query."""
+        """Executes a command; returns its answer, which is empty for a query that is queued."""
         session = client.session
         match command:
             case packets.Query():
                 client.work_left -= QUERY_WORK
-                return self.enqueue_query(client, command)
+                if not self.read_ahead(client):
+                    self.log.write("query_refused", session=client.number, reason="written too far ahead")
+                    return session.error_answer(packets.REFUSED, WRITTEN_AHEAD)
+                return b"" if client.buffered_socket.closed else self.enqueue_query(client, command)
             case packets.KillQuery(number):
                 if number not in self.clients:
                     return session.error_answer(packets.NO_SUCH_THREAD, "no such session")
@@ -345,6 +351,25 @@
                 return session.ok()
         return b""
 
+    def read_ahead(self, client: Client) -> bool:
+        """Reads what a client has written behind a query; returns whether nothing is left in the kernel.
+
+        Otherwise the client has written more than a session may hold, and the end of its connection may wait
+        behind that, even in the client's own kernel. No query may be started for a client that has left.
+        """
+        session = client.session
+        while session.queue or session.buffer:
+            if session.holds_maximum:
+                return not client.buffered_socket.has_unread()
+            data = client.buffered_socket.read()
+            if data is None:
+                break
+            if not data:
+                self.drop(client)
+                break
+            session.feed(data, client.buffered_socket.last_received_at(self.clock()))
+        return True
+
     def enqueue_query(self, client: Client, query: packets.Query) -> bytes:
         """Queues a query; returns the error to answer if its statement is invalid."""
         try:
--- a/hillchute/fronts/mysql/packets.py
+++ b/hillchute/fronts/mysql/packets.py
@@ -137,25 +137,27 @@
         """Takes bytes that were received at the time `received_at`."""
         if self.closing:
             return
+        if not self.buffer or len(self.queue) < MAX_QUEUED_COMMANDS:
+            self.received_at = received_at  # else the buffer may hold complete packets that came earlier
         self.buffer += data
-        self.received_at = received_at
         self.take_packets()
 
     @property
     def full(self) -> bool:
         """Whether so much input is queued that no more should be read for now."""
+        return len(self.queue) >= MAX_QUEUED_COMMANDS or self.holds_maximum
+
+    @property
+    def holds_maximum(self) -> bool:
+        """Whether the session holds as many bytes of input as it may."""
         queued_bytes = self.queued_bytes + len(self.buffer)
-        return (
-            self.oversized_bytes is not None
-            or len(self.queue) >= MAX_QUEUED_COMMANDS
-            or queued_bytes > self.max_packet_bytes + HEADER_BYTES
-        )
+        return self.oversized_bytes is not None or queued_bytes > self.max_packet_bytes + HEADER_BYTES
 
     def take_packets(self) -> None:
         """Moves complete packets from the buffer to the queue, as many as it may hold.
 
-        All bytes left in the buffer came with the last read: while a complete packet is left there, the
-        session is full and no more is read. `received_at` thus holds for each of them.
+        `received_at` holds for each packet that is left in the buffer, or is earlier: while a complete one is
+        left there, the session is full, and a read ahead of its answers does not change it.
         """
         while (
             len(self.buffer) >= HEADER_BYTES
--- a/tests/test_client_share.py
+++ b/tests/test_client_share.py
@@ -6,7 +6,7 @@
 from rounds_by_hand import LOGIN, PING, RouterHarness, packet, query
 
 from hillchute.fronts.mysql import door
-from hillchute.fronts.mysql.packets import MAX_QUEUED_COMMANDS, OK
+from hillchute.fronts.mysql.packets import MAX_QUEUED_COMMANDS, OK, Session
 from hillchute.router.round_schedule import RoundSchedule
 from hillchute.statements.request import Request
 
@@ -78,6 +78,20 @@
     assert not waiting.answers()
 
 
+def test_read_ahead_leaves_commands_with_their_time_of_arrival() -> None:
+    """Guards against queries whose deadline counts from when a later one was read."""
+    session = Session(1, 65_536)
+    session.feed(LOGIN + 2 * MAX_QUEUED_COMMANDS * PING, received_at=100)
+    session.feed(PING, received_at=900)
+    arrivals = []
+    while session.queue:
+        arrivals.append(session.queue[0][2])
+        session.command(1)
+        session.busy = False
+    assert len(arrivals) == 2 + 2 * MAX_QUEUED_COMMANDS
+    assert set(arrivals) == {100}
+
+
 def request(number: int) -> Request:
     return Request(f"{number:016x}", "lookup", 30_000, b"SELECT 1")
 
