An id that may have run is not run again for the longest queue timeout

Cause: the open queries were the only list of ids.

An id that was never sent may come again, as a request does that crosses the end of its connection.

--- a/hillchute/router/query_state.py
+++ b/hillchute/router/query_state.py
@@ -9,7 +9,7 @@
 from enum import Enum, StrEnum
 from typing import TYPE_CHECKING
 
-from hillchute.decision.interface import AttemptResult, EngineId, Time
+from hillchute.decision.interface import NOT_RUN_RESULTS, AttemptResult, EngineId, Time
 from hillchute.engines import words
 from hillchute.statements.request import Request
 
@@ -55,6 +55,11 @@
     completion: words.RunCompleted | None = None  # set once the run has completed; its result follows
     stream: words.Stream | None = None  # the streamed result, once it has started
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether its engine may run or have run the query."""
+        return self.sent and self.result not in NOT_RUN_RESULTS
+
 
 @dataclass(slots=True, eq=False)
 class QueryState:
--- a/hillchute/router/reducer.py
+++ b/hillchute/router/reducer.py
@@ -7,6 +7,7 @@
 """
 
 from hillchute.decision.interface import (
+    SECOND,
     Cancel,
     Decision,
     EngineId,
@@ -48,12 +49,14 @@
 )
 from hillchute.router.loop_lag import LoopLag
 from hillchute.router.query_state import Attempt, ClaimState, QueryOutcome, QueryState
+from hillchute.router.recent_queries import RecentQueries
 from hillchute.router.reducer_context import ReducerContext
 from hillchute.router.request_rules import MAX_SHOWN_CHARACTERS, RequestRules
 from hillchute.router.send_check import find_obstacle
 from hillchute.settings import Settings
 from hillchute.statements.request import Request
 
+DEFAULT_ID_RETENTION: Time = 60 * SECOND  # where no queue timeout is stated
 LAST_ANSWER_MARGIN: Time = 500  # 50 ms before the client's timeout, a query is answered in any case
 
 
@@ -78,6 +81,7 @@
         self.claims_non_idempotent = False
         self.shutdown_deadline: Time | None = None
         self.queries: dict[QueryId, QueryState] = {}
+        self.recent_queries = RecentQueries(settings.longest_queue_timeout or DEFAULT_ID_RETENTION)
         self.unanswered: dict[int, QueryState] = {}  # by session
 
     def reduce(self, event: Event, now: Time) -> list[Effect]:
@@ -235,7 +239,7 @@
         """Returns why a request is not a valid query for this router, or None if it is valid."""
         if request.group not in self.rules.groups:
             return f"field route names no resource group: {request.group[:MAX_SHOWN_CHARACTERS]}"
-        if request.id in self.queries:
+        if request.id in self.queries or self.recent_queries.contains(request.id, self.context.now):
             return "field trace has been used before"
         if session in self.unanswered:
             return "a query is open on this session"
@@ -373,5 +377,7 @@
         if query.answered and all(attempt.ended for attempt in query.attempts):
             self.queries.pop(query.request.id, None)
             self.context.open_queries.discard(query.number)
+            if any(attempt.may_have_run for attempt in query.attempts):
+                self.recent_queries.add(query.request.id, self.context.now)
             self.claims.end(query)
             query.attempts.clear()  # a reference cycle would keep results until the next garbage collection
