Incomplete Flight SQL calls and held statements stay within the memory limit

Cause: only the size of one message was limited, 16 MB by default; gRPC takes in a whole message and all fields before the router sees the call. Tickets counted statements, not their bytes.

Change: limits on connections, calls of a connection, fields of a call and windows, which gRPC enforces; message_bytes is 64 kB by default; statements held for tickets and those prepared have 4 MB each.

--- a/hillchute/fronts/flight/server.py
+++ b/hillchute/fronts/flight/server.py
@@ -33,7 +33,13 @@
 from hillchute.statements.request import Request
 
 SECOND = 10_000  # tenths of a millisecond
-MAX_HEADER_BYTES = 65_536
+# Of one call's fields. gRPC rejects a part of the calls above the first and all above the second.
+MAX_HEADER_BYTES = 4_096
+ABSOLUTE_MAX_HEADER_BYTES = 4_096
+# With them, and `message_bytes` of 64 kB, calls whose requests are not complete hold 80 MB at most.
+MAX_CALLS_PER_CONNECTION = 8
+SHORT_CALLS = 64  # calls at once beside the streams; each call's fields take up to 0.2 MB here
+MAX_IDLE_MS = 60_000  # connections without a call are closed after this time
 
 
 class Call:
@@ -75,6 +81,7 @@
         clock: Callable[[], int],
         handle: Callable[[events.Event], None],
         on_fault: FaultReport,
+        max_connections: int,
     ) -> None:
         """`settings`: `flight` of the operator file; `tables`: the resource groups by name.
 
@@ -82,6 +89,7 @@
         """
         self.settings, self.log, self.clock, self.handle = settings, log, clock, handle
         self.on_fault = on_fault
+        self.max_connections = max_connections
         key = secrets.token_bytes(32)
         self.authenticator = Authenticator(settings["users"], key)
         self.tickets: TokenTable[Request] = TokenTable(key, settings["tickets"], settings["ticket_ms"] * 10)
@@ -104,9 +112,14 @@
                 ("grpc.max_receive_message_length", max_message_bytes),
                 ("grpc.max_send_message_length", -1),
                 ("grpc.max_metadata_size", MAX_HEADER_BYTES),
+                ("grpc.absolute_max_metadata_size", ABSOLUTE_MAX_HEADER_BYTES),
+                ("grpc.max_concurrent_streams", MAX_CALLS_PER_CONNECTION),
+                ("grpc.max_allowed_incoming_connections", self.max_connections),
+                ("grpc.max_connection_idle_ms", MAX_IDLE_MS),
+                ("grpc.http2.bdp_probe", 0),  # it would let clients send far ahead on fast networks
                 ("grpc.so_reuseport", 0),
             ],
-            maximum_concurrent_rpcs=self.settings["streams"] + self.settings["tickets"],
+            maximum_concurrent_rpcs=self.settings["streams"] + SHORT_CALLS,
         )
         handlers = {
             "Handshake": grpc.stream_stream_rpc_method_handler(self.stream_handler(self.handshake)),
@@ -337,7 +350,8 @@
                 catalog.bind_parameters(prepared.text, prepared.values),
                 {**prepared.fields, **fields},
             )
-        token = self.tickets.put(now, owner, self.build_request(text, fields))
+        request = self.build_request(text, fields)
+        token = self.tickets.put(now, owner, request, len(request.statement))
         return arrow.wrap(sql.TicketStatementQuery(statement_handle=token))
 
     def build_request(self, text: str, fields: Mapping[str, str]) -> Request:
@@ -479,7 +493,7 @@
                 if not isinstance(command, sql.ActionCreatePreparedStatementRequest):
                     raise arrow.InvalidFlightDataError("not a request for a prepared statement")
                 fields = answers.query_fields(context.invocation_metadata() or ())
-                handle = self.prepared.put(now, owner, Prepared(command.query, fields))
+                handle = self.prepared.put(now, owner, Prepared(command.query, fields), len(command.query))
                 parameter_count = catalog.count_parameters(command.query)
                 result = sql.ActionCreatePreparedStatementResult(
                     prepared_statement_handle=handle,
--- a/hillchute/fronts/flight/tickets.py
+++ b/hillchute/fronts/flight/tickets.py
@@ -13,6 +13,7 @@
 from hillchute.decision.interface import Time
 
 Value = TypeVar("Value")
+MAX_BYTES = 4 << 20  # of the statements that one table holds
 NUMBER_BYTES, MAC_BYTES = 8, 16  # bytes of a token: its number, and a truncated HMAC of it
 
 
@@ -29,24 +30,32 @@
     value: Value
     owner: str
     expires_at: Time
+    size: int
 
 
 class TokenTable(Generic[Value]):
-    """Up to `max_entries` entries, oldest first; they expire after `lifetime`, or never if it is None."""
+    """Up to `max_entries` entries, oldest first; they expire after `lifetime`, or never if it is None.
+
+    The sizes of all entries together are MAX_BYTES at most.
+    """
 
     def __init__(self, secret: bytes, max_entries: int, lifetime: Time | None) -> None:
         self.secret, self.max_entries, self.lifetime = secret, max_entries, lifetime
+        self.held_bytes = 0
         self.entries: OrderedDict[int, Entry[Value]] = OrderedDict()
         self.last_number = 0
 
-    def put(self, now: Time, owner: str, value: Value) -> bytes:
-        """Stores a value and returns its token; raises LimitReachedError."""
+    def put(self, now: Time, owner: str, value: Value, size: int = 0) -> bytes:
+        """Stores a value of `size` bytes and returns its token; raises LimitReachedError."""
         self.expire(now)
         if len(self.entries) >= self.max_entries:
             raise LimitReachedError(f"{self.max_entries} are held already")
+        if self.held_bytes + size > MAX_BYTES:
+            raise LimitReachedError(f"those that are held have {self.held_bytes} bytes already")
+        self.held_bytes += size
         self.last_number += 1
         expires_at = now + self.lifetime if self.lifetime is not None else 2**63
-        self.entries[self.last_number] = Entry(value, owner, expires_at)
+        self.entries[self.last_number] = Entry(value, owner, expires_at, size)
         return self.token(self.last_number)
 
     def token(self, number: int) -> bytes:
@@ -59,7 +68,7 @@
 
     def take(self, now: Time, owner: str, token: bytes) -> Value:
         """Removes a token and returns its value; raises InvalidTokenError."""
-        return self.entries.pop(self.find(now, owner, token)).value
+        return self._remove(self.find(now, owner, token)).value
 
     def find(self, now: Time, owner: str, token: bytes) -> int:
         """The number of the entry of a token; raises InvalidTokenError."""
@@ -78,4 +87,9 @@
             number, entry = next(iter(self.entries.items()))
             if entry.expires_at > now:
                 return
-            del self.entries[number]
+            self._remove(number)
+
+    def _remove(self, number: int) -> Entry[Value]:
+        entry = self.entries.pop(number)
+        self.held_bytes -= entry.size
+        return entry
--- a/hillchute/operator/schema.cue
+++ b/hillchute/operator/schema.cue
@@ -36,7 +36,7 @@
 	// Maximum number of open prepared statements.
 	prepared: int & >=1 & <=1000000 | *1000
 	// Maximum size of one message, including statements, in bytes.
-	message_bytes: int & >=65536 & <=268435456 | *16777216
+	message_bytes: int & >=65536 & <=268435456 | *65536
 	// Maximum number of open streams to clients.
 	streams: int & >=1 & <=100000 | *256
 }
--- a/hillchute/router/config.py
+++ b/hillchute/router/config.py
@@ -35,6 +35,7 @@
 # Divisors of the number of descriptors.
 ADMITTED_SESSIONS_DIVISOR = 3  # the protocol allows clients at most a third
 ENGINE_CONNECTIONS_DIVISOR = 3
+FLIGHT_CONNECTIONS_DIVISOR = 20  # each carries many calls
 CONNECTED_SESSIONS_DIVISOR = 2  # includes clients that have not logged in yet
 
 BYTES_PER_MB = 1_048_576
@@ -66,6 +67,11 @@
         """Maximum number of clients connected at once, including those that have not logged in yet."""
         return self.sockets // CONNECTED_SESSIONS_DIVISOR
 
+    @property
+    def max_flight_connections(self) -> int:
+        """Maximum number of connections of Flight SQL clients."""
+        return self.sockets // FLIGHT_CONNECTIONS_DIVISOR
+
     @property
     def max_engine_connections(self) -> int:
         """Maximum number of open connections to engines."""
--- a/hillchute/router/service.py
+++ b/hillchute/router/service.py
@@ -151,7 +151,8 @@
         from hillchute.fronts.flight.server import Server
 
         groups = self.reducer.rules.groups
-        return Server(settings, groups, self.log, self.clock, self.handle, self.faults.write)
+        max_connections = self.configuration.max_flight_connections
+        return Server(settings, groups, self.log, self.clock, self.handle, self.faults.write, max_connections)
 
     def _build_executor(self) -> EffectExecutor:
         return EffectExecutor(
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -82,7 +82,7 @@
     path = str(tmp_path / "none")
     tls = f'tls: {{certificate: "{path}", key: "{path}"}}'
     settings = reading.parse_settings(f'flight: {{listen: "127.0.0.1:1", {tls}}}')["flight"]
-    server = flight.Server(settings, {}, Log("n", -1), lambda: 0, None, None)
+    server = flight.Server(settings, {}, Log("n", -1), lambda: 0, None, None, 64)
     server.credentials(settings["tls"])
 
 
--- a/tests/test_fault_barriers.py
+++ b/tests/test_fault_barriers.py
@@ -273,7 +273,7 @@
     """Guards against a call of a Flight SQL client whose fault is in nobody's log."""
     faults = []
     settings = reading.parse_settings('flight: {listen: "127.0.0.1:1"}')["flight"]
-    server = Server(settings, {}, Log("n", -1), lambda: 0, None, lambda *fault: faults.append(fault))
+    server = Server(settings, {}, Log("n", -1), lambda: 0, None, lambda *fault: faults.append(fault), 64)
     context = CallContext()
 
     async def get_info(data, context):
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -112,7 +112,7 @@
 def test_reload_applies_settings_and_names_those_that_need_a_restart(tmp_path):
     text = 'flight: {listen: "127.0.0.1:1", tickets: 5, users: [{name: "bi", token: "old"}]}'
     flight_server = server.Server(
-        reading.parse_settings(text)["flight"], {}, Log("n", -1), lambda: 0, None, None
+        reading.parse_settings(text)["flight"], {}, Log("n", -1), lambda: 0, None, None, 64
     )
     issued_token = flight_server.authenticator.issue_token(0, "bi")
     text = text.replace("old", "new").replace(":1", ":2").replace("tickets: 5", "tickets: 1")
