Values bound to prepared Flight SQL statements count as held bytes

The table of prepared statements counted the text that a statement was created with and not the values that a client binds to it later, up to message_bytes for each of a thousand. They count now (TokenTable.replace). The limit on a call's fields is one constant for both of gRPC's options.

--- a/hillchute/fronts/flight/server.py
+++ b/hillchute/fronts/flight/server.py
@@ -33,12 +33,9 @@
 from hillchute.statements.request import Request
 
 SECOND = 10_000  # tenths of a millisecond
-# Of one call's fields. gRPC rejects a part of the calls above the first and all above the second.
-MAX_HEADER_BYTES = 4_096
-ABSOLUTE_MAX_HEADER_BYTES = 4_096
-# With them, and `message_bytes` of 64 kB, calls whose requests are not complete hold 80 MB at most.
-MAX_CALLS_PER_CONNECTION = 8
-SHORT_CALLS = 64  # calls at once beside the streams; each call's fields take up to 0.2 MB here
+MAX_HEADER_BYTES = 4_096  # of one call's fields; as objects they take many times as much
+MAX_CALLS_PER_CONNECTION = 8  # gRPC holds each incomplete request of up to `message_bytes`
+SHORT_CALLS = 64  # calls at once beside the streams
 MAX_IDLE_MS = 60_000  # connections without a call are closed after this time
 
 
@@ -112,7 +109,7 @@
                 ("grpc.max_receive_message_length", max_message_bytes),
                 ("grpc.max_send_message_length", -1),
                 ("grpc.max_metadata_size", MAX_HEADER_BYTES),
-                ("grpc.absolute_max_metadata_size", ABSOLUTE_MAX_HEADER_BYTES),
+                ("grpc.absolute_max_metadata_size", MAX_HEADER_BYTES),
                 ("grpc.max_concurrent_streams", MAX_CALLS_PER_CONNECTION),
                 ("grpc.max_allowed_incoming_connections", self.max_connections),
                 ("grpc.max_connection_idle_ms", MAX_IDLE_MS),
@@ -445,8 +442,8 @@
                 handle = command.prepared_statement_handle
                 prepared = self.prepared.get(since, owner, handle)
                 values = await self.read_parameters(first, parts)
-                number = self.prepared.find(since, owner, handle)
-                self.prepared.entries[number].value = prepared._replace(values=values)
+                size = len(prepared.text) + sum(len(v) for v in values if isinstance(v, str | bytes))
+                self.prepared.replace(since, owner, handle, prepared._replace(values=values), size)
                 result = sql.DoPutPreparedStatementResult(prepared_statement_handle=handle)
                 yield flight.PutResult(app_metadata=result.SerializeToString()).SerializeToString()
                 return
--- a/hillchute/fronts/flight/tickets.py
+++ b/hillchute/fronts/flight/tickets.py
@@ -50,9 +50,7 @@
         self.expire(now)
         if len(self.entries) >= self.max_entries:
             raise LimitReachedError(f"{self.max_entries} are held already")
-        if self.held_bytes + size > MAX_BYTES:
-            raise LimitReachedError(f"those that are held have {self.held_bytes} bytes already")
-        self.held_bytes += size
+        self._hold(size)
         self.last_number += 1
         expires_at = now + self.lifetime if self.lifetime is not None else 2**63
         self.entries[self.last_number] = Entry(value, owner, expires_at, size)
@@ -70,6 +68,12 @@
         """Removes a token and returns its value; raises InvalidTokenError."""
         return self._remove(self.find(now, owner, token)).value
 
+    def replace(self, now: Time, owner: str, token: bytes, value: Value, size: int) -> None:
+        """Replaces the value of a token; raises InvalidTokenError or LimitReachedError."""
+        entry = self.entries[self.find(now, owner, token)]
+        self._hold(size - entry.size)
+        entry.value, entry.size = value, size
+
     def find(self, now: Time, owner: str, token: bytes) -> int:
         """The number of the entry of a token; raises InvalidTokenError."""
         number = int.from_bytes(token[:NUMBER_BYTES], "big")
@@ -89,6 +93,12 @@
                 return
             self._remove(number)
 
+    def _hold(self, size: int) -> None:
+        """Counts so many bytes more; raises LimitReachedError."""
+        if self.held_bytes + size > MAX_BYTES:
+            raise LimitReachedError(f"those that are held have {self.held_bytes} bytes already")
+        self.held_bytes += size
+
     def _remove(self, number: int) -> Entry[Value]:
         entry = self.entries.pop(number)
         self.held_bytes -= entry.size
--- a/hillchute/fronts/mysql/door.py
+++ b/hillchute/fronts/mysql/door.py
@@ -33,8 +33,6 @@
 RECEIVE_TIME_ERROR = 50  # 5 ms: error of the kernel's receive times
 ROWS_PER_WRITE = 256  # rows of a stream written at once, before waiting until the kernel has taken them
 SESSION_NUMBERS = 1 << 32  # session numbers are 32 bits wide in the protocol's greeting
-
-
 WRITTEN_AHEAD = "not run, too much was written ahead of its answers; trying again is harmless"
 
 
--- a/tests/test_flight_floods.py
+++ b/tests/test_flight_floods.py
@@ -35,4 +35,8 @@
     assert table.take(1, "a", first) == "x"
     table.put(1, "a", "z", size=60)
     assert table.get(1, "a", second) == "y"
+    table.replace(1, "a", second, "smaller", size=30)
+    with pytest.raises(LimitReachedError):
+        table.replace(1, "a", second, "too large", size=41)
+    assert table.get(1, "a", second) == "smaller"
     table.put(60, "a", "after all have expired", size=100)
